Serve a request end to end with a thin fleet

Cause: there was nothing yet.

Change: the daemon with one control thread and N traffic threads; the request pipe (classify, admit, choose target, attempt) as pure code behind one seam; look-ups answered from prepared bytes; configuration committed by compare-and-swap, polled from the store and passed between peers; operators' tool; stand-ins for the platform and targets; settings, declarations, logs.

--- /dev/null
+++ b/pollenreel/control/answers.hpp
@@ -0,0 +1,22 @@
+// The JSON that operators' calls are answered with. Pure.
+#pragma once
+
+#include "pollenreel/control/core.hpp"
+
+#include <string>
+
+namespace pollenreel::control {
+
+[[nodiscard]] answer_operator answer(call_id call, const verdict& v);
+
+[[nodiscard]] std::string
+status_json(const declarations::configuration& current,
+            const peer::member& self,
+            const std::map<base::instance_id, known_member>& members,
+            base::time_point now);
+
+[[nodiscard]] answer_operator
+where_answer(call_id call, const language::where& query,
+             const declarations::configuration& current);
+
+} // namespace pollenreel::control
--- /dev/null
+++ b/pollenreel/control/change.hpp
@@ -0,0 +1,41 @@
+// A change of the configuration that an operator asks for, and its effect on
+// a configuration. Pure.
+#pragma once
+
+#include "pollenreel/base/failure.hpp"
+#include "pollenreel/base/ids.hpp"
+#include "pollenreel/declarations/configuration.hpp"
+#include "pollenreel/language/command.hpp"
+
+#include <string>
+#include <variant>
+
+namespace pollenreel::control {
+
+// Replaces what is declared.
+struct apply_document {
+    declarations::document document;
+};
+
+using mutation = std::variant<apply_document, language::drain_target,
+                              language::undrain_target>;
+
+struct change {
+    base::command_id command; // makes the change idempotent
+    std::string author;
+    control::mutation mutation;
+};
+
+enum class change_error { unknown_target = 1, no_effect };
+[[nodiscard]] std::error_code make_error_code(change_error e);
+
+// The configuration after `c`, one version on. Fails with unknown_target, or
+// no_effect when `c` would change nothing.
+[[nodiscard]] base::result<declarations::configuration>
+apply(const change& c, const declarations::configuration& current);
+
+} // namespace pollenreel::control
+
+template <>
+struct std::is_error_code_enum<pollenreel::control::change_error>
+    : std::true_type {};
--- /dev/null
+++ b/pollenreel/control/core.cpp
@@ -0,0 +1,188 @@
+#include "pollenreel/control/core.hpp"
+
+#include "pollenreel/base/overloaded.hpp"
+#include "pollenreel/control/answers.hpp"
+
+#include <set>
+
+namespace pollenreel::control {
+
+namespace {
+
+// Trades bytes between instances against how soon a death is noticed.
+constexpr std::chrono::milliseconds heartbeat_period{500};
+// Trades store calls against how soon a change made elsewhere is seen.
+constexpr std::chrono::milliseconds poll_period{1000};
+
+bool due(std::optional<base::time_point>& last, base::duration period,
+         base::time_point now) {
+    if (last && now - *last < period) {
+        return false;
+    }
+    last = now;
+    return true;
+}
+
+routing::instance as_instance(const peer::member& m) {
+    return {m.instance, m.failure_domain, m.caller_address};
+}
+
+} // namespace
+
+core::core(identity who)
+    : m_who(std::move(who)), m_committer(m_who.configuration_key),
+      m_members(m_who.self.instance) {}
+
+effects core::handle(const event& e, base::time_point now) {
+    effects out;
+    std::visit([&](const auto& one) { on(one, now, out); }, e);
+    return out;
+}
+
+void core::on(const tick&, base::time_point now, effects& out) {
+    if (due(m_last_heartbeat, heartbeat_period, now)) {
+        send_heartbeats(out);
+    }
+    if (!m_polling && due(m_last_poll, poll_period, now)) {
+        m_polling = true;
+        out.emplace_back(
+            call_store{store_user::poll, store::read{m_who.configuration_key}});
+    }
+    republish(now, out);
+}
+
+void core::on(const store_replied& e, base::time_point now, effects& out) {
+    if (e.user == store_user::committer) {
+        return take_step(m_committer.on_reply(e.reply), now, out);
+    }
+    m_polling = false;
+    const auto* found = std::get_if<store::found>(&e.reply);
+    if (found == nullptr || !found->value) {
+        return;
+    }
+    if (auto decoded = declarations::decode(found->value->value)) {
+        offer(std::move(decoded.value()), now, out);
+    }
+}
+
+void core::on(const peer_received& e, base::time_point now, effects& out) {
+    std::visit([&](const auto& m) { on(m, now, out); }, e.message);
+}
+
+void core::on(const peer::heartbeat& m, base::time_point now, effects& out) {
+    m_members.on_heartbeat(m, now);
+    if (m.applied > m_configuration.version) {
+        out.emplace_back(
+            send_peer{m.sender.peer_address,
+                      peer::configuration_request{m_who.self.peer_address,
+                                                  m_configuration.version}});
+    }
+    republish(now, out);
+}
+
+void core::on(const peer::configuration_request& m, base::time_point,
+              effects& out) {
+    if (m_configuration.version > m.have) {
+        out.emplace_back(send_peer{
+            m.reply_to,
+            peer::configuration_push{declarations::encode(m_configuration)}});
+    }
+}
+
+void core::on(const peer::configuration_push& m, base::time_point now,
+              effects& out) {
+    if (auto decoded = declarations::decode(m.encoded)) {
+        offer(std::move(decoded.value()), now, out);
+    }
+}
+
+void core::on(const query_received& e, base::time_point now, effects& out) {
+    std::visit(
+        base::overloaded{
+            [&](const language::status&) {
+                out.emplace_back(
+                    answer_operator{e.call, answer_status::ok,
+                                    status_json(m_configuration, m_who.self,
+                                                m_members.all(), now)});
+            },
+            [&](const language::where& q) {
+                out.emplace_back(where_answer(e.call, q, m_configuration));
+            },
+        },
+        e.query);
+}
+
+void core::on(const change_received& e, base::time_point now, effects& out) {
+    const bool first = m_waiting.emplace(e.change.command, e.call).second;
+    if (!first) {
+        out.emplace_back(answer(
+            e.call, refused{"this command id is being worked on already"}));
+        return;
+    }
+    take_step(m_committer.submit(e.change), now, out);
+}
+
+void core::on(const stop_requested&, base::time_point, effects& out) {
+    m_who.self.leaving = true;
+    send_heartbeats(out);
+}
+
+void core::take_step(committer::step s, base::time_point now, effects& out) {
+    if (s.seen) {
+        offer(std::move(*s.seen), now, out);
+    }
+    for (const auto& d : s.finished) {
+        const auto waiting = m_waiting.find(d.command);
+        if (waiting != m_waiting.end()) {
+            out.emplace_back(answer(waiting->second, d.verdict));
+            m_waiting.erase(waiting);
+        }
+    }
+    if (s.call) {
+        out.emplace_back(call_store{store_user::committer, std::move(*s.call)});
+    }
+}
+
+void core::offer(declarations::configuration c, base::time_point now,
+                 effects& out) {
+    if (c.version <= m_configuration.version) {
+        return;
+    }
+    m_configuration = std::move(c);
+    m_published.clear();
+    republish(now, out);
+    send_heartbeats(out); // tells the peers that there is a greater version
+}
+
+void core::send_heartbeats(effects& out) {
+    peer::heartbeat h{m_who.self, m_configuration.version, {}};
+    for (const auto& [id, m] : m_members.all()) {
+        h.known.push_back(m.member);
+    }
+    std::set<base::endpoint> to(m_who.seeds.begin(), m_who.seeds.end());
+    for (const auto& address : m_members.addresses()) {
+        to.insert(address);
+    }
+    to.erase(m_who.self.peer_address);
+    for (const auto& address : to) {
+        out.emplace_back(send_peer{address, h});
+    }
+}
+
+void core::republish(base::time_point now, effects& out) {
+    std::vector<routing::instance> usable;
+    if (!m_who.self.leaving) {
+        usable.push_back(as_instance(m_who.self));
+    }
+    for (const auto& m : m_members.usable(now)) {
+        usable.push_back(as_instance(m.member));
+    }
+    if (usable == m_published) {
+        return;
+    }
+    m_published = usable;
+    out.emplace_back(publish{routing::compile(
+        m_configuration, as_instance(m_who.self), std::move(usable))});
+}
+
+} // namespace pollenreel::control
--- /dev/null
+++ b/pollenreel/control/core.hpp
@@ -0,0 +1,129 @@
+// All control decisions of one instance, behind one seam: events go in with
+// the time at which they happened, effects come out for a driver to carry out
+// in order. Knows no sockets, threads or clocks; the daemon's control thread
+// is one driver, tests are others.
+//
+//   control::core c(identity);
+//   for (auto& e : c.handle(control::tick{}, now)) run(e);
+//
+// Order: a driver passes events one at a time, from one thread, carries out
+// the effects of one before it passes the next, and passes `tick` every
+// `tick_period`.
+#pragma once
+
+#include "pollenreel/base/clock.hpp"
+#include "pollenreel/control/committer.hpp"
+#include "pollenreel/control/member_table.hpp"
+#include "pollenreel/language/command.hpp"
+#include "pollenreel/peer/message.hpp"
+#include "pollenreel/routing/snapshot.hpp"
+#include "pollenreel/store/messages.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pollenreel::control {
+
+constexpr std::chrono::milliseconds tick_period{100};
+
+// Identifies an operator's call until it is answered.
+using call_id = base::number_id<struct call_tag>;
+
+// Who is asking for a store call; comes back with its reply.
+enum class store_user { committer, poll };
+
+// Events.
+struct tick {};
+struct store_replied {
+    store_user user;
+    store::reply reply;
+};
+struct peer_received {
+    peer::message message;
+};
+struct query_received {
+    call_id call;
+    std::variant<language::status, language::where> query;
+};
+struct change_received {
+    call_id call;
+    control::change change;
+};
+struct stop_requested {};
+using event = std::variant<tick, store_replied, peer_received, query_received,
+                           change_received, stop_requested>;
+
+// Effects.
+struct call_store {
+    store_user user;
+    store::request request;
+};
+struct send_peer {
+    base::endpoint to;
+    peer::message message;
+};
+struct publish { // to the traffic threads
+    routing::snapshot_ptr snapshot;
+};
+enum class answer_status { ok, refused, lost_race, undecided };
+struct answer_operator {
+    call_id call;
+    answer_status status;
+    std::string json;
+};
+using effect = std::variant<call_store, send_peer, publish, answer_operator>;
+using effects = std::vector<effect>;
+
+struct identity {
+    peer::member self;
+    std::vector<base::endpoint> seeds;
+    std::string configuration_key;
+};
+
+class core {
+public:
+    explicit core(identity who);
+
+    [[nodiscard]] effects handle(const event& e, base::time_point now);
+    [[nodiscard]] base::config_version applied() const {
+        return m_configuration.version;
+    }
+
+private:
+    void on(const tick& e, base::time_point now, effects& out);
+    void on(const store_replied& e, base::time_point now, effects& out);
+    void on(const peer_received& e, base::time_point now, effects& out);
+    void on(const query_received& e, base::time_point now, effects& out);
+    void on(const change_received& e, base::time_point now, effects& out);
+    void on(const stop_requested& e, base::time_point now, effects& out);
+
+    void on(const peer::heartbeat& m, base::time_point now, effects& out);
+    void on(const peer::configuration_request& m, base::time_point now,
+            effects& out);
+    void on(const peer::configuration_push& m, base::time_point now,
+            effects& out);
+
+    void take_step(committer::step s, base::time_point now, effects& out);
+    // Takes `c` into use if its version is greater than the current one.
+    void offer(declarations::configuration c, base::time_point now,
+               effects& out);
+    void send_heartbeats(effects& out);
+    void republish(base::time_point now, effects& out);
+
+    identity m_who;
+    declarations::configuration m_configuration;
+    committer m_committer;
+    member_table m_members;
+    std::map<base::command_id, call_id> m_waiting; // operators' calls
+    std::vector<routing::instance> m_published;
+    std::optional<base::time_point> m_last_heartbeat;
+    std::optional<base::time_point> m_last_poll;
+    bool m_polling = false;
+};
+
+} // namespace pollenreel::control
--- /dev/null
+++ b/pollenreel/declarations/codec_test.cpp
@@ -0,0 +1,84 @@
+#include "pollenreel/declarations/codec.hpp"
+
+#include "pollenreel/declarations/configuration.hpp"
+#include "pollenreel/declarations/error.hpp"
+
+#include <boost/json/serialize.hpp>
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace pollenreel;
+using declarations::error;
+
+const std::string good = R"({
+  "fleet_instances": 4,
+  "regions": [{"id": "khomas", "failure_domains": ["khomas-a"]},
+              {"id": "erongo", "failure_domains": ["erongo-a"]}],
+  "links": [{"first": "khomas", "second": "erongo",
+             "megabits_per_second": 4000}],
+  "client_blocks": [{"block": "127.0.0.0/8", "failure_domain": "khomas-a"}],
+  "services": [{"id": "catalogue", "max_connections_per_target": 400,
+    "kinds": [{"id": "browse", "methods": ["GET"], "idempotent": true,
+               "deadline_ms": 500, "priority": 1}],
+    "targets": [{"id": "cat-1", "failure_domain": "khomas-a",
+                 "address": "127.0.0.1:9000", "slots": 6}]}]
+})";
+
+std::string replaced(std::string text, const std::string& from,
+                     const std::string& to) {
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("parse_document refuses with the path of the value") {
+    struct row {
+        const char* name;
+        std::string text;
+        error expected;
+        const char* mentions;
+    };
+    const row rows[] = {
+        {"text that is not JSON", "{", error::not_json, ""},
+        {"an unknown key", replaced(good, "\"slots\"", "\"slot\""),
+         error::unknown_key, "/services/0/targets/0"},
+        {"a missing key", replaced(good, "\"fleet_instances\": 4,", ""),
+         error::missing_key, "fleet_instances"},
+        {"a number out of range",
+         replaced(good, "\"slots\": 6", "\"slots\": 0"), error::out_of_range,
+         "/services/0/targets/0/slots"},
+        {"a string for a number", replaced(good, "4000", "\"fast\""),
+         error::wrong_type, "/links/0/megabits_per_second"},
+        {"a domain declared twice", replaced(good, "erongo-a", "khomas-a"),
+         error::duplicate, "khomas-a"},
+        {"a target in an undeclared domain",
+         replaced(good, "\"cat-1\", \"failure_domain\": \"khomas-a\"",
+                  "\"cat-1\", \"failure_domain\": \"oshana-a\""),
+         error::unknown_reference, "oshana-a"},
+        {"a block that is not CIDR", replaced(good, "127.0.0.0/8", "here"),
+         error::out_of_range, "/client_blocks/0/block"},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        const auto parsed = declarations::parse_document(r.text);
+        REQUIRE(!parsed.has_value());
+        CHECK(parsed.error().code == make_error_code(r.expected));
+        CHECK(parsed.error().detail.find(r.mentions) != std::string::npos);
+    }
+}
+
+TEST_CASE("a configuration survives encoding") {
+    declarations::configuration c;
+    c.version = base::config_version(7);
+    c.command = base::command_id("cmd-1");
+    c.author = "ops";
+    c.summary = "first";
+    c.declared = declarations::parse_document(good).value();
+    c.commanded.drained_targets.insert(base::target_id("cat-1"));
+    const auto back = declarations::decode(declarations::encode(c));
+    REQUIRE(back.has_value());
+    CHECK(back.value().version == c.version);
+    CHECK(back.value().declared == c.declared);
+    CHECK(back.value().commanded == c.commanded);
+}
--- /dev/null
+++ b/pollenreel/declarations/document.hpp
@@ -0,0 +1,79 @@
+// What operators declare in version control: regions, failure domains, links,
+// services with their kinds of work and targets, and which failure domain is
+// nearest to which block of clients.
+#pragma once
+
+#include "pollenreel/base/endpoint.hpp"
+#include "pollenreel/base/ids.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pollenreel::declarations {
+
+struct region {
+    base::region_id id;
+    std::vector<base::failure_domain_id> failure_domains;
+
+    friend bool operator==(const region&, const region&) = default;
+};
+
+// A link between two regions; `capacity` holds each way.
+struct link {
+    base::region_id first;
+    base::region_id second;
+    std::uint64_t megabits_per_second = 0;
+
+    friend bool operator==(const link&, const link&) = default;
+};
+
+struct client_block {
+    std::string block; // IPv4 in CIDR form
+    base::failure_domain_id failure_domain;
+
+    friend bool operator==(const client_block&, const client_block&) = default;
+};
+
+// A kind of work of a service: which requests it covers and how they are
+// treated.
+struct kind {
+    base::kind_id id;
+    std::vector<std::string> methods; // requests without a named kind
+    bool idempotent = false;
+    std::chrono::milliseconds deadline{};
+    std::uint32_t priority = 0; // 0 is shed last
+
+    friend bool operator==(const kind&, const kind&) = default;
+};
+
+struct target {
+    base::target_id id;
+    base::failure_domain_id failure_domain;
+    base::endpoint address;
+    std::uint32_t slots = 0;
+
+    friend bool operator==(const target&, const target&) = default;
+};
+
+struct service {
+    base::service_id id;
+    std::uint32_t max_connections_per_target = 0; // over the whole fleet
+    std::vector<kind> kinds;
+    std::vector<target> targets;
+
+    friend bool operator==(const service&, const service&) = default;
+};
+
+struct document {
+    std::uint32_t fleet_instances = 0; // most that ever run at once
+    std::vector<region> regions;
+    std::vector<link> links;
+    std::vector<client_block> client_blocks;
+    std::vector<service> services;
+
+    friend bool operator==(const document&, const document&) = default;
+};
+
+} // namespace pollenreel::declarations
--- /dev/null
+++ b/pollenreel/http/client.cpp
@@ -0,0 +1,66 @@
+#include "pollenreel/http/client.hpp"
+
+#include "pollenreel/http/error.hpp"
+
+namespace pollenreel::http {
+
+client::client(boost::asio::io_context& io, limits l)
+    : m_io(&io), m_limits(l) {}
+
+void client::call(const base::endpoint& to, request r,
+                  std::chrono::milliseconds timeout,
+                  client_connection::answered done) {
+    auto& idle = m_idle[to];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->reusable()) {
+            return exchange(to, connection, r, timeout, std::move(done));
+        }
+    }
+    auto connection = std::make_shared<client_connection>(*m_io);
+    connection->connect(
+        to, timeout,
+        [this, to, connection, timeout, r = std::move(r),
+         done = std::move(done),
+         alive = std::weak_ptr(m_alive)](base::result<void> up) {
+            if (alive.expired()) {
+                return;
+            }
+            if (!up) {
+                return done(up.error());
+            }
+            exchange(to, connection, r, timeout, done);
+        });
+}
+
+void client::exchange(const base::endpoint& to, const connection_ptr& on,
+                      const request& r, std::chrono::milliseconds timeout,
+                      client_connection::answered done) {
+    on->exchange(r, m_limits, timeout,
+                 [this, to, on, done = std::move(done),
+                  alive = std::weak_ptr(m_alive)](base::result<response> a) {
+                     if (alive.expired()) {
+                         return;
+                     }
+                     if (a && on->reusable()) {
+                         m_idle[to].push_back(on);
+                     }
+                     done(std::move(a));
+                 });
+}
+
+base::result<response> call_and_wait(const base::endpoint& to, const request& r,
+                                     std::chrono::milliseconds timeout,
+                                     const limits& l) {
+    boost::asio::io_context io;
+    client c(io, l);
+    base::result<response> got =
+        base::failure{make_error_code(error::connection_lost), to.str()};
+    c.call(to, r, timeout,
+           [&](base::result<response> a) { got = std::move(a); });
+    io.run();
+    return got;
+}
+
+} // namespace pollenreel::http
--- /dev/null
+++ b/pollenreel/http/client.hpp
@@ -0,0 +1,49 @@
+// Calls HTTP servers for control traffic: the platform, operators' tools,
+// tests. Keeps idle connections for reuse.
+//
+//   http::client c(io);
+//   c.call(endpoint, {"GET", "/status"}, 1s, [](auto answer) { ... });
+#pragma once
+
+#include "pollenreel/http/client_connection.hpp"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace pollenreel::http {
+
+// All members and callbacks run on the io_context's one thread; callbacks are
+// not called after the client is destroyed.
+class client {
+public:
+    explicit client(boost::asio::io_context& io, limits l = {});
+
+    // Connects or reuses a connection, sends `r` and delivers the answer.
+    // `timeout` covers connecting and the exchange separately. Fails as
+    // client_connection does; only a failure of `connect_failed` says that
+    // the request was not received.
+    void call(const base::endpoint& to, request r,
+              std::chrono::milliseconds timeout,
+              client_connection::answered done);
+
+private:
+    using connection_ptr = std::shared_ptr<client_connection>;
+
+    void exchange(const base::endpoint& to, const connection_ptr& on,
+                  const request& r, std::chrono::milliseconds timeout,
+                  client_connection::answered done);
+
+    boost::asio::io_context* m_io;
+    limits m_limits;
+    std::map<base::endpoint, std::vector<connection_ptr>> m_idle;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+// One call from a program that has nothing else to do: runs its own
+// io_context until the answer or failure.
+[[nodiscard]] base::result<response>
+call_and_wait(const base::endpoint& to, const request& r,
+              std::chrono::milliseconds timeout, const limits& l = {});
+
+} // namespace pollenreel::http
--- /dev/null
+++ b/pollenreel/http/client_connection.cpp
@@ -0,0 +1,221 @@
+#include "pollenreel/http/client_connection.hpp"
+
+#include "pollenreel/http/error.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <optional>
+
+namespace pollenreel::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+base::failure fail(error e, const beast::error_code& cause) {
+    return {make_error_code(e), cause.message()};
+}
+
+base::failure read_failure(const beast::error_code& e) {
+    if (e == beast::error::timeout) {
+        return fail(error::timed_out, e);
+    }
+    if (e == bhttp::error::partial_message) {
+        return fail(error::incomplete_message, e);
+    }
+    if (e == bhttp::error::body_limit || e == bhttp::error::header_limit) {
+        return fail(error::too_large, e);
+    }
+    if (e.category() ==
+            bhttp::make_error_code(bhttp::error::bad_method).category() &&
+        e != bhttp::error::end_of_stream) {
+        return fail(error::malformed_message, e);
+    }
+    return fail(error::connection_lost, e);
+}
+
+response to_response(bhttp::response<bhttp::string_body>&& from) {
+    response r;
+    r.status = from.result_int();
+    for (const auto& field : from) {
+        r.headers.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+    }
+    r.body = std::move(from.body());
+    return r;
+}
+
+} // namespace
+
+class client_connection::state : public std::enable_shared_from_this<state> {
+public:
+    explicit state(asio::io_context& io) : m_stream(io) {}
+
+    void connect(const base::endpoint& to, std::chrono::milliseconds timeout,
+                 connected done) {
+        m_connected = std::move(done);
+        m_host = to.str();
+        beast::error_code bad;
+        const tcp::endpoint at(asio::ip::make_address_v4(to.host, bad),
+                               to.port);
+        m_stream.expires_after(timeout);
+        m_stream.async_connect(
+            at, [self = shared_from_this()](beast::error_code e) {
+                self->on_connected(e);
+            });
+    }
+
+    void exchange(const request& r, const limits& l,
+                  std::chrono::milliseconds timeout, answered done) {
+        m_answered = std::move(done);
+        m_reusable = false;
+        m_request.emplace(bhttp::string_to_verb(r.method), r.path, 11);
+        if (m_request->method() == bhttp::verb::unknown) {
+            m_request->method_string(r.method);
+        }
+        m_request->set(bhttp::field::host, m_host);
+        for (const auto& h : r.headers) {
+            m_request->insert(h.name, h.value);
+        }
+        m_request->body() = r.body;
+        m_request->prepare_payload();
+        m_parser.emplace();
+        m_parser->header_limit(l.header_bytes);
+        m_parser->body_limit(l.body_bytes);
+        if (m_request->method() == bhttp::verb::head) {
+            m_parser->skip(true);
+        }
+        m_stream.expires_after(timeout);
+        bhttp::async_write(
+            m_stream, *m_request,
+            [self = shared_from_this()](beast::error_code e, std::size_t) {
+                self->on_written(e);
+            });
+    }
+
+    [[nodiscard]] bool reusable() {
+        if (!m_reusable || m_closed) {
+            return false;
+        }
+        // Anything readable now is a close or an answer that nobody asked for.
+        beast::error_code e;
+        const auto waiting = m_stream.socket().available(e);
+        if (e || waiting != 0) {
+            return false;
+        }
+        char probe = 0;
+        m_stream.socket().non_blocking(true, e);
+        m_stream.socket().receive(asio::buffer(&probe, 1),
+                                  tcp::socket::message_peek, e);
+        return e == asio::error::would_block;
+    }
+
+    void close() {
+        m_closed = true;
+        m_connected = nullptr;
+        m_answered = nullptr;
+        m_stream.close();
+    }
+
+private:
+    void on_connected(beast::error_code e) {
+        if (m_closed) {
+            return;
+        }
+        auto done = std::move(m_connected);
+        if (e) {
+            return done(fail(e == beast::error::timeout ? error::timed_out
+                                                        : error::connect_failed,
+                             e));
+        }
+        beast::error_code ignored;
+        m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        m_reusable = true;
+        done(boost::outcome_v2::success());
+    }
+
+    void on_written(beast::error_code e) {
+        if (m_closed) {
+            return;
+        }
+        if (e) {
+            return finish(read_failure(e));
+        }
+        bhttp::async_read(
+            m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](beast::error_code e2, std::size_t) {
+                self->on_read(e2);
+            });
+    }
+
+    void on_read(beast::error_code e) {
+        if (m_closed) {
+            return;
+        }
+        if (e) {
+            return finish(read_failure(e));
+        }
+        if (m_parser->need_eof()) {
+            return finish(
+                base::failure{make_error_code(error::incomplete_message),
+                              "the answer does not say how long it is"});
+        }
+        m_reusable = m_parser->keep_alive() && m_buffer.size() == 0;
+        m_stream.expires_never();
+        finish(to_response(m_parser->release()));
+    }
+
+    void finish(base::result<response> r) {
+        auto done = std::move(m_answered);
+        m_answered = nullptr;
+        done(std::move(r));
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::string m_host;
+    std::optional<bhttp::request<bhttp::string_body>> m_request;
+    std::optional<bhttp::response_parser<bhttp::string_body>> m_parser;
+    connected m_connected;
+    answered m_answered;
+    bool m_reusable = false;
+    bool m_closed = false;
+};
+
+client_connection::client_connection(asio::io_context& io)
+    : m_state(std::make_shared<state>(io)) {}
+
+client_connection::~client_connection() {
+    m_state->close();
+}
+
+void client_connection::connect(const base::endpoint& to,
+                                std::chrono::milliseconds timeout,
+                                connected done) {
+    m_state->connect(to, timeout, std::move(done));
+}
+
+void client_connection::exchange(const request& r, const limits& l,
+                                 std::chrono::milliseconds timeout,
+                                 answered done) {
+    m_state->exchange(r, l, timeout, std::move(done));
+}
+
+bool client_connection::reusable() const {
+    return m_state->reusable();
+}
+
+void client_connection::close() {
+    m_state->close();
+}
+
+} // namespace pollenreel::http
--- /dev/null
+++ b/pollenreel/http/client_connection.hpp
@@ -0,0 +1,46 @@
+// One HTTP/1.1 connection to a server, with one request on it at a time: no
+// pipelining, and no reuse while an answer is owed. An answer is delivered
+// only when it is whole.
+#pragma once
+
+#include "pollenreel/base/endpoint.hpp"
+#include "pollenreel/http/message.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+namespace pollenreel::http {
+
+// All members and callbacks run on the io_context's one thread. Callbacks are
+// not called after close().
+class client_connection {
+public:
+    using connected = std::function<void(base::result<void>)>;
+    using answered = std::function<void(base::result<response>)>;
+
+    explicit client_connection(boost::asio::io_context& io);
+    client_connection(const client_connection&) = delete;
+    client_connection& operator=(const client_connection&) = delete;
+    ~client_connection();
+
+    // Fails with connect_failed or timed_out.
+    void connect(const base::endpoint& to, std::chrono::milliseconds timeout,
+                 connected done);
+    // Fails with timed_out, connection_lost, incomplete_message,
+    // malformed_message, too_large; the request may then have been received.
+    void exchange(const request& r, const limits& l,
+                  std::chrono::milliseconds timeout, answered done);
+    // Whether another exchange may start: the last answer was whole, nothing
+    // came after it, and the server has neither closed nor sent anything since.
+    [[nodiscard]] bool reusable() const;
+    void close();
+
+private:
+    class state;
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace pollenreel::http
--- /dev/null
+++ b/pollenreel/http/server.hpp
@@ -0,0 +1,66 @@
+// An HTTP/1.1 server on one io_context. Each request goes to a handler, which
+// answers through a responder now or later, on the same thread. A request that
+// is malformed or over a limit is answered by the server itself and never
+// reaches the handler.
+//
+//   http::server s(io, options, [](http::request r, http::responder answer) {
+//       answer({200, {}, "hello"});
+//   });
+//   if (auto up = s.start(); !up) ...
+#pragma once
+
+#include "pollenreel/base/endpoint.hpp"
+#include "pollenreel/http/message.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace pollenreel::http {
+
+// Answers one request; to be called once. Calls after the caller has left do
+// nothing.
+using responder = std::function<void(response)>;
+using handler = std::function<void(request, responder)>;
+
+struct server_options {
+    base::endpoint listen;
+    http::limits limits;
+    std::size_t max_connections = 10'000;
+    std::chrono::milliseconds idle_timeout{60'000};
+    bool share_port = false; // several threads listen on one port
+    // Headers put on answers to requests that are refused as malformed.
+    headers refusal_headers;
+};
+
+struct server_counters {
+    std::uint64_t accepted = 0;
+    std::uint64_t refused_connections = 0; // over max_connections
+    std::uint64_t malformed = 0;           // bad or too large messages
+};
+
+// All members and handlers run on the io_context's one thread.
+class server {
+public:
+    server(boost::asio::io_context& io, server_options options, handler h);
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+    ~server();
+
+    // Fails with cannot_listen.
+    [[nodiscard]] base::result<void> start();
+    // Takes no new connections, closes idle ones, lets requests under way be
+    // answered and closes each connection after its answer.
+    void stop();
+    [[nodiscard]] std::size_t connections() const;
+    [[nodiscard]] const server_counters& counters() const;
+
+private:
+    class listener;
+    std::shared_ptr<listener> m_listener;
+};
+
+} // namespace pollenreel::http
--- /dev/null
+++ b/pollenreel/node/traffic_thread.cpp
@@ -0,0 +1,257 @@
+#include "pollenreel/node/traffic_thread.hpp"
+
+#include "pollenreel/base/overloaded.hpp"
+#include "pollenreel/http/server.hpp"
+#include "pollenreel/lookup/table.hpp"
+#include "pollenreel/node/caller_interface.hpp"
+#include "pollenreel/node/headers.hpp"
+#include "pollenreel/node/target_pool.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace pollenreel::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds housekeeping_period{100};
+
+http::server_options server_options(const settings::settings& s) {
+    http::server_options o;
+    o.listen = s.traffic.listen;
+    o.limits = {static_cast<std::uint32_t>(s.traffic.max_header_bytes),
+                s.traffic.max_body_bytes};
+    o.max_connections = s.traffic.max_callers;
+    o.idle_timeout = s.traffic.idle_timeout;
+    o.share_port = s.traffic.threads > 1;
+    o.refusal_headers = {{std::string(header_outcome), "not-run"},
+                         {std::string(header_reason), "bad-request"}};
+    return o;
+}
+
+} // namespace
+
+class traffic_thread::loop {
+public:
+    loop(traffic_options options, const base::clock& clock, log::logger log)
+        : m_options(std::move(options)), m_clock(clock), m_log(std::move(log)),
+          m_core(m_options.seed), m_wakeup(m_io), m_housekeeping(m_io),
+          m_server(m_io, server_options(m_options.settings),
+                   [this](http::request r, http::responder answer) {
+                       on_request(std::move(r), std::move(answer));
+                   }),
+          m_targets(m_io,
+                    {64 * 1024, m_options.settings.traffic.max_body_bytes},
+                    [this](const request::event& e) { handle(e); }) {}
+
+    base::result<void> start() {
+        BOOST_OUTCOME_TRY(m_server.start());
+        keep_house();
+        m_thread = std::thread([this] { m_io.run(); });
+        return boost::outcome_v2::success();
+    }
+
+    void publish(routing::snapshot_ptr s) {
+        boost::asio::post(m_io, [this, s = std::move(s)] {
+            m_table.emplace(s);
+            handle(request::snapshot_changed{s});
+        });
+    }
+
+    void stop() {
+        boost::asio::post(m_io, [this] {
+            m_stopping = true;
+            m_server.stop();
+        });
+    }
+
+    void join() {
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    traffic_counters counters() const {
+        const std::lock_guard guard(m_counters_mutex);
+        return m_counters;
+    }
+
+private:
+    struct waiting {
+        http::request request;
+        std::string path;
+        std::string id;
+        http::responder answer;
+    };
+
+    void on_request(http::request r, http::responder answer) {
+        m_last_id = m_last_id.next();
+        auto call = read_call(r, m_last_id);
+        std::visit(base::overloaded{
+                       [&](const lookup_call& c) { answer(look_up(c)); },
+                       [&](service_call& c) {
+                           m_waiting[c.arrival.id] = {
+                               std::move(r), std::move(c.path),
+                               m_options.request_id_prefix + "." +
+                                   std::to_string(c.arrival.id.value()),
+                               std::move(answer)};
+                           handle(c.arrival);
+                       },
+                       [&](const health_call&) {
+                           answer({200, {}, "ok\n"});
+                       },
+                       [&](const bad_call& b) { answer(bad_call_answer(b)); },
+                   },
+                   call);
+    }
+
+    http::response look_up(const lookup_call& c) {
+        ++m_lookups;
+        const std::string* body = nullptr;
+        if (m_table) {
+            body = std::visit(
+                [&](const auto& from) {
+                    return m_table->find(c.service, from);
+                },
+                c.from);
+        }
+        if (body == nullptr) {
+            return bad_call_answer({404, "no such service or failure domain"});
+        }
+        return {200, {{"Content-Type", "application/json"}}, *body};
+    }
+
+    void handle(const request::event& e) {
+        for (const auto& effect : m_core.handle(e, m_clock.now())) {
+            std::visit([&](const auto& one) { run(one); }, effect);
+        }
+        arm_wakeup();
+    }
+
+    void run(const request::open_attempt& e) {
+        m_targets.open(e, m_clock.now());
+        m_request_of[e.attempt] = e.request;
+    }
+
+    void run(const request::send_attempt& e) {
+        const auto& w = m_waiting.at(m_request_of.at(e.attempt));
+        m_targets.send(e.attempt,
+                       to_target(w.request, w.path, w.id, e.time_left), w.id,
+                       e.time_left);
+    }
+
+    void run(const request::abandon_attempt& e) {
+        m_targets.abandon(e.attempt);
+        m_request_of.erase(e.attempt);
+    }
+
+    void run(const request::forward_answer& e) {
+        auto answer = to_caller(m_targets.take_answer(e.attempt));
+        m_request_of.erase(e.attempt);
+        reply(e.request, std::move(answer));
+    }
+
+    void run(const request::refuse_request& e) {
+        reply(e.request, refusal_answer(e.refusal));
+    }
+
+    void reply(base::request_id id, http::response r) {
+        const auto found = m_waiting.find(id);
+        r.headers.push_back({std::string(header_instance),
+                             m_options.settings.instance.id.str()});
+        auto answer = std::move(found->second.answer);
+        m_waiting.erase(found);
+        answer(std::move(r));
+    }
+
+    void arm_wakeup() {
+        const auto next = m_core.next_wakeup();
+        if (!next || next == m_armed) {
+            return;
+        }
+        m_armed = next;
+        m_wakeup.expires_at(*next);
+        m_wakeup.async_wait([this](const boost::system::error_code& e) {
+            if (!e) {
+                m_armed.reset();
+                handle(request::tick{});
+            }
+        });
+    }
+
+    void keep_house() {
+        {
+            const std::lock_guard guard(m_counters_mutex);
+            m_counters = {m_lookups, m_server.counters().malformed,
+                          m_core.requests_in_flight(), m_server.connections(),
+                          m_core.counts()};
+        }
+        if (m_stopping && m_server.connections() == 0 && m_waiting.empty()) {
+            m_io.stop();
+            return;
+        }
+        m_housekeeping.expires_after(housekeeping_period);
+        m_housekeeping.async_wait(
+            [this](const boost::system::error_code&) { keep_house(); });
+    }
+
+    traffic_options m_options;
+    const base::clock& m_clock;
+    log::logger m_log;
+    boost::asio::io_context m_io{1};
+    request::core m_core;
+    boost::asio::steady_timer m_wakeup;
+    boost::asio::steady_timer m_housekeeping;
+    http::server m_server;
+    target_pool m_targets;
+    std::optional<lookup::table> m_table;
+    boost::unordered_flat_map<base::request_id, waiting> m_waiting;
+    boost::unordered_flat_map<base::attempt_id, base::request_id> m_request_of;
+    std::optional<base::time_point> m_armed;
+    base::request_id m_last_id;
+    std::uint64_t m_lookups = 0;
+    bool m_stopping = false;
+    mutable std::mutex m_counters_mutex;
+    traffic_counters m_counters;
+    std::thread m_thread;
+};
+
+traffic_thread::traffic_thread(traffic_options options,
+                               const base::clock& clock, log::logger log)
+    : m_loop(
+          std::make_unique<loop>(std::move(options), clock, std::move(log))) {}
+
+traffic_thread::~traffic_thread() {
+    join();
+}
+
+base::result<void> traffic_thread::start() {
+    return m_loop->start();
+}
+
+void traffic_thread::publish(routing::snapshot_ptr s) {
+    m_loop->publish(std::move(s));
+}
+
+void traffic_thread::stop() {
+    m_loop->stop();
+}
+
+traffic_counters traffic_thread::counters() const {
+    return m_loop->counters();
+}
+
+void traffic_thread::join() {
+    m_loop->join();
+}
+
+} // namespace pollenreel::node
--- /dev/null
+++ b/pollenreel/request/attempt.cpp
@@ -0,0 +1,60 @@
+#include "pollenreel/request/attempt.hpp"
+
+namespace pollenreel::request {
+
+attempt::step attempt::fail(outcome o, reason why) {
+    m_phase = phase::finished;
+    m_failure = refusal{o, why};
+    return step::fail;
+}
+
+attempt::step attempt::on_connected() {
+    if (m_phase != phase::connecting) {
+        return step::nothing;
+    }
+    m_phase = phase::sent;
+    return step::send;
+}
+
+attempt::step attempt::on_connect_failed() {
+    if (m_phase != phase::connecting) {
+        return step::nothing;
+    }
+    return fail(outcome::not_run, reason::connect_failed);
+}
+
+attempt::step attempt::on_answer(const answer_facts& facts) {
+    if (m_phase != phase::sent) {
+        return step::nothing;
+    }
+    if (!facts.id_matches) {
+        return fail(outcome::unknown, reason::wrong_answer);
+    }
+    if (facts.shed) {
+        return fail(outcome::not_run, reason::target_shed);
+    }
+    m_phase = phase::finished;
+    return step::forward;
+}
+
+attempt::step attempt::on_lost() {
+    if (m_phase == phase::connecting) {
+        return fail(outcome::not_run, reason::connect_failed);
+    }
+    if (m_phase == phase::sent) {
+        return fail(outcome::unknown, reason::connection_lost);
+    }
+    return step::nothing;
+}
+
+attempt::step attempt::on_cancel(reason why) {
+    if (m_phase == phase::connecting) {
+        return fail(outcome::not_run, why);
+    }
+    if (m_phase == phase::sent) {
+        return fail(outcome::unknown, why);
+    }
+    return step::nothing;
+}
+
+} // namespace pollenreel::request
--- /dev/null
+++ b/pollenreel/request/attempt.hpp
@@ -0,0 +1,50 @@
+// One attempt to have a target run a request, as a state machine. It is the
+// single owner of the question "may this attempt have reached the target?":
+// the shell writes nothing until the machine says `send`, and from then on
+// the attempt counts as one that may have run.
+//
+//   attempt a;
+//   if (a.on_connected() == attempt::step::send) { ... }
+#pragma once
+
+#include "pollenreel/request/types.hpp"
+
+namespace pollenreel::request {
+
+// What a target's whole answer says about itself.
+struct answer_facts {
+    unsigned status = 0;
+    bool shed = false;       // refused in the way documented as not run
+    bool id_matches = false; // echoed the request id that it was sent
+};
+
+class attempt {
+public:
+    enum class phase { connecting, sent, finished };
+    enum class step {
+        nothing, // the event came too late to matter
+        send,    // write the request now
+        forward, // the target's answer is the request's answer
+        fail,    // the attempt is over; `failure()` says how
+    };
+
+    [[nodiscard]] phase current() const { return m_phase; }
+    // How the attempt failed; meaningful after a step of `fail`.
+    [[nodiscard]] const refusal& failure() const { return m_failure; }
+
+    step on_connected();
+    step on_connect_failed();
+    step on_answer(const answer_facts& facts);
+    // The connection broke, or the answer was malformed or cut short.
+    step on_lost();
+    // The deadline passed, the caller left, or the instance gives up: `why`.
+    step on_cancel(reason why);
+
+private:
+    step fail(outcome o, reason why);
+
+    phase m_phase = phase::connecting;
+    refusal m_failure;
+};
+
+} // namespace pollenreel::request
--- /dev/null
+++ b/pollenreel/request/core.hpp
@@ -0,0 +1,146 @@
+// All decisions about requests on one traffic thread, behind one seam: events
+// go in with the time at which they happened, effects come out for a driver
+// to carry out in order. Knows no sockets, threads or clocks; the daemon's
+// traffic thread is one driver, tests and benchmarks are others.
+//
+//   request::core c(seed);
+//   for (auto& e : c.handle(request::snapshot_changed{s}, now)) run(e);
+//
+// Order: a driver passes events one at a time and carries out the effects of
+// one before it passes the next. Between events it wakes the core with `tick`
+// no later than `next_wakeup()`.
+#pragma once
+
+#include "pollenreel/base/random.hpp"
+#include "pollenreel/request/attempt.hpp"
+#include "pollenreel/request/choose_target.hpp"
+#include "pollenreel/request/types.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace pollenreel::request {
+
+// Events.
+struct snapshot_changed {
+    routing::snapshot_ptr snapshot;
+};
+struct attempt_connected {
+    base::attempt_id attempt;
+};
+struct attempt_connect_failed {
+    base::attempt_id attempt;
+};
+struct attempt_answered {
+    base::attempt_id attempt;
+    answer_facts facts;
+};
+struct attempt_lost {
+    base::attempt_id attempt;
+};
+struct caller_gone {
+    base::request_id request;
+};
+struct tick {};
+struct stop_requested {};
+
+using event = std::variant<snapshot_changed, arrival, attempt_connected,
+                           attempt_connect_failed, attempt_answered,
+                           attempt_lost, caller_gone, tick, stop_requested>;
+
+// Effects.
+struct open_attempt { // get a connection to the target
+    base::attempt_id attempt;
+    base::request_id request;
+    choice to;
+    base::time_point deadline;
+};
+struct send_attempt { // write the request on it
+    base::attempt_id attempt;
+    std::chrono::milliseconds time_left;
+};
+struct abandon_attempt { // close its connection, cancel at the target
+    base::attempt_id attempt;
+};
+struct forward_answer { // pass the attempt's answer to the caller
+    base::request_id request;
+    base::attempt_id attempt;
+};
+struct refuse_request { // answer the caller ourselves
+    base::request_id request;
+    request::refusal refusal;
+};
+
+using effect = std::variant<open_attempt, send_attempt, abandon_attempt,
+                            forward_answer, refuse_request>;
+using effects = std::vector<effect>;
+
+// Counts since start.
+struct counters {
+    std::uint64_t requests = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t refused_not_run = 0;
+    std::uint64_t refused_unknown = 0;
+    std::uint64_t attempts = 0;
+};
+
+class core {
+public:
+    explicit core(std::uint64_t seed);
+
+    [[nodiscard]] effects handle(const event& e, base::time_point now);
+
+    // When the core next needs a `tick`; empty: not before another event.
+    [[nodiscard]] std::optional<base::time_point> next_wakeup() const;
+    [[nodiscard]] std::size_t requests_in_flight() const;
+    [[nodiscard]] const counters& counts() const { return m_counters; }
+
+private:
+    struct pending {
+        classified request;
+        base::attempt_id current;
+        std::vector<base::target_id> tried;
+    };
+    struct open {
+        request::attempt machine;
+        base::request_id request;
+        base::target_id target;
+    };
+
+    void on(const snapshot_changed& e, base::time_point now, effects& out);
+    void on(const arrival& e, base::time_point now, effects& out);
+    void on(const attempt_connected& e, base::time_point now, effects& out);
+    void on(const attempt_connect_failed& e, base::time_point now,
+            effects& out);
+    void on(const attempt_answered& e, base::time_point now, effects& out);
+    void on(const attempt_lost& e, base::time_point now, effects& out);
+    void on(const caller_gone& e, base::time_point now, effects& out);
+    void on(const tick& e, base::time_point now, effects& out);
+    void on(const stop_requested& e, base::time_point now, effects& out);
+
+    void start_attempt(pending& p, base::time_point now, effects& out);
+    void after_step(base::attempt_id id, attempt::step s, base::time_point now,
+                    effects& out);
+    void after_failure(open& failed, base::time_point now, effects& out);
+    void cancel(base::request_id id, reason why, base::time_point now,
+                effects& out);
+    void refuse(base::request_id id, refusal r, effects& out);
+    void forget_attempt(base::attempt_id id);
+    void forget_request(base::request_id id);
+
+    routing::snapshot_ptr m_snapshot;
+    base::random m_random;
+    base::attempt_id m_last_attempt;
+    bool m_stopping = false;
+    counters m_counters;
+    boost::unordered_flat_map<base::request_id, pending> m_pending;
+    boost::unordered_flat_map<base::attempt_id, open> m_open;
+    std::multimap<base::time_point, base::request_id> m_deadlines;
+    in_flight_counts m_in_flight;
+};
+
+} // namespace pollenreel::request
--- /dev/null
+++ b/pollenreel/request/core_test.cpp
@@ -0,0 +1,91 @@
+#include "pollenreel/request/core.hpp"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace pollenreel;
+using namespace std::chrono_literals;
+using request::outcome;
+using request::reason;
+
+constexpr base::time_point start{1h};
+
+routing::snapshot_ptr two_targets() {
+    auto s = std::make_shared<routing::snapshot>();
+    routing::service catalogue;
+    catalogue.kinds = {
+        {base::kind_id("browse"), {"GET"}, true, 500ms, 2},
+        {base::kind_id("order"), {"POST"}, false, 500ms, 0},
+    };
+    for (const auto* id : {"cat-1", "cat-2"}) {
+        routing::target t;
+        t.id = base::target_id(id);
+        catalogue.targets.push_back(t);
+    }
+    s->services[base::service_id("catalogue")] = catalogue;
+    return s;
+}
+
+request::core ready_core() {
+    request::core c(1);
+    (void)c.handle(request::snapshot_changed{two_targets()}, start);
+    return c;
+}
+
+base::attempt_id begin(request::core& c, const char* method) {
+    const auto out = c.handle(
+        request::arrival{
+            base::request_id(1), base::service_id("catalogue"), method, {}, {}},
+        start);
+    return std::get<request::open_attempt>(out.at(0)).attempt;
+}
+
+} // namespace
+
+TEST_CASE("a broken connection is retried only when that is safe") {
+    struct row {
+        const char* name;
+        const char* method;
+        bool sent;
+        bool retried;
+    };
+    const row rows[] = {
+        {"an order that was not sent", "POST", false, true},
+        {"an order that was sent", "POST", true, false},
+        {"an idempotent request that was sent", "GET", true, true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        auto c = ready_core();
+        const auto attempt = begin(c, r.method);
+        if (r.sent) {
+            const auto out =
+                c.handle(request::attempt_connected{attempt}, start);
+            CHECK(std::holds_alternative<request::send_attempt>(out.at(0)));
+        }
+        const auto out = c.handle(request::attempt_lost{attempt}, start);
+        REQUIRE(out.size() == 1);
+        CHECK(std::holds_alternative<request::open_attempt>(out[0]) ==
+              r.retried);
+        if (!r.retried) {
+            const auto& refused = std::get<request::refuse_request>(out[0]);
+            CHECK(refused.refusal ==
+                  request::refusal{outcome::unknown, reason::connection_lost});
+            CHECK(c.requests_in_flight() == 0);
+        }
+    }
+}
+
+TEST_CASE("an expired deadline ends the request once") {
+    auto c = ready_core();
+    const auto attempt = begin(c, "POST");
+    REQUIRE(c.next_wakeup() == start + 500ms);
+    const auto out = c.handle(request::tick{}, start + 500ms);
+    REQUIRE(out.size() == 2);
+    CHECK(std::get<request::abandon_attempt>(out[0]).attempt == attempt);
+    CHECK(std::get<request::refuse_request>(out[1]).refusal ==
+          request::refusal{outcome::not_run, reason::deadline_expired});
+    CHECK(c.handle(request::attempt_connected{attempt}, start + 501ms).empty());
+    CHECK(!c.next_wakeup());
+}
--- /dev/null
+++ b/pollenreel/request/types.cpp
@@ -0,0 +1,37 @@
+#include "pollenreel/request/types.hpp"
+
+namespace pollenreel::request {
+
+std::string_view to_string(outcome o) {
+    return o == outcome::not_run ? "not-run" : "unknown";
+}
+
+std::string_view to_string(reason r) {
+    switch (r) {
+    case reason::unknown_service:
+        return "unknown-service";
+    case reason::unknown_kind:
+        return "unknown-kind";
+    case reason::bad_deadline:
+        return "bad-deadline";
+    case reason::no_target:
+        return "no-target";
+    case reason::overloaded:
+        return "overloaded";
+    case reason::deadline_expired:
+        return "deadline-expired";
+    case reason::connect_failed:
+        return "connect-failed";
+    case reason::connection_lost:
+        return "connection-lost";
+    case reason::wrong_answer:
+        return "wrong-answer";
+    case reason::target_shed:
+        return "target-shed";
+    case reason::stopping:
+        return "stopping";
+    }
+    return "unknown-reason";
+}
+
+} // namespace pollenreel::request
--- /dev/null
+++ b/pollenreel/routing/snapshot.cpp
@@ -0,0 +1,73 @@
+#include "pollenreel/routing/snapshot.hpp"
+
+#include <boost/asio/ip/network_v4.hpp>
+
+#include <algorithm>
+
+namespace pollenreel::routing {
+
+namespace {
+
+service compile_service(const declarations::service& declared,
+                        const declarations::steering& commanded,
+                        const snapshot& partial) {
+    service compiled{
+        declared.id, declared.max_connections_per_target, declared.kinds, {}};
+    for (const auto& t : declared.targets) {
+        target one;
+        one.id = t.id;
+        one.failure_domain = t.failure_domain;
+        one.region = partial.region_of.at(t.failure_domain);
+        one.address = t.address;
+        one.slots = t.slots;
+        one.accepts_new_work = !commanded.drained_targets.contains(t.id);
+        compiled.targets.push_back(std::move(one));
+    }
+    return compiled;
+}
+
+std::vector<client_range>
+compile_ranges(const std::vector<declarations::client_block>& blocks) {
+    std::vector<client_range> ranges;
+    for (const auto& b : blocks) {
+        boost::system::error_code bad;
+        const auto net = boost::asio::ip::make_network_v4(b.block, bad);
+        if (!bad) {
+            ranges.push_back({net.network().to_uint(),
+                              net.broadcast().to_uint(), b.failure_domain});
+        }
+    }
+    std::sort(ranges.begin(), ranges.end(),
+              [](const auto& a, const auto& b) { return a.first < b.first; });
+    return ranges;
+}
+
+} // namespace
+
+snapshot_ptr compile(const declarations::configuration& configuration,
+                     const instance& self,
+                     std::vector<instance> usable_instances) {
+    auto s = std::make_shared<snapshot>();
+    s->version = configuration.version;
+    s->self = self.id;
+    s->failure_domain = self.failure_domain;
+    s->instances = std::move(usable_instances);
+    for (const auto& r : configuration.declared.regions) {
+        for (const auto& d : r.failure_domains) {
+            s->region_of.emplace(d, r.id);
+        }
+    }
+    if (const auto own = s->region_of.find(self.failure_domain);
+        own != s->region_of.end()) {
+        s->region = own->second;
+    }
+    for (const auto& declared : configuration.declared.services) {
+        s->services.emplace(
+            declared.id,
+            compile_service(declared, configuration.commanded, *s));
+    }
+    s->client_ranges = compile_ranges(configuration.declared.client_blocks);
+    return s;
+}
+
+} // namespace pollenreel::routing
