Give commands, steering state, regions and measures their places

Cause: the parts that follow (language, shifts, limits, drains, measures) meet in a few shared types; without them each would invent its own.

Conclusion: the shared types hold the commands of the grammar to come; their policies are still missing.

--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,72 @@
+// pollenreel_bench [--list] [NAME...]: runs the named measures, or all the
+// deterministic ones, and prints one JSON object a line. Exit 1 when a value
+// breaks its bound.
+#include "pollenreel/measure/result.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace {
+
+using namespace pollenreel;
+
+struct entry {
+    std::string_view name;
+    // Virtual time and seeds: the same values every run. CI runs only these.
+    bool deterministic;
+    std::string_view meaning;
+    measure::results (*run)();
+};
+
+std::span<const entry> entries() {
+    static const std::vector<entry> all = {};
+    return all;
+}
+
+int list() {
+    for (const auto& e : entries()) {
+        fmt::print("{:<20} {:<13} {}\n", e.name,
+                   e.deterministic ? "deterministic" : "wall-clock", e.meaning);
+    }
+    return 0;
+}
+
+bool run_one(const entry& e) {
+    bool kept = true;
+    for (const auto& r : e.run()) {
+        fmt::print("{}\n", measure::to_json_line(r));
+        kept = kept && measure::ok(r);
+    }
+    return kept;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    const std::vector<std::string_view> names(argv + 1, argv + argc);
+    if (!names.empty() && names[0] == "--list") {
+        return list();
+    }
+    for (const auto name : names) {
+        const auto known =
+            std::any_of(entries().begin(), entries().end(),
+                        [&](const auto& e) { return e.name == name; });
+        if (!known) {
+            fmt::print(stderr, "no measure is called '{}'; see --list\n", name);
+            return 64;
+        }
+    }
+    bool kept = true;
+    for (const auto& e : entries()) {
+        const bool named =
+            std::find(names.begin(), names.end(), e.name) != names.end();
+        if (named || (names.empty() && e.deterministic)) {
+            kept = run_one(e) && kept;
+        }
+    }
+    return kept ? 0 : 1;
+}
--- a/cmake/pollenreel_targets.cmake
+++ b/cmake/pollenreel_targets.cmake
@@ -21,9 +21,12 @@
   BOOST_BEAST_SEPARATE_COMPILATION)
 
 # pollenreel_library(NAME SOURCES ... DEPENDS ... [TESTS ...])
-# Defines library pollenreel_NAME and, from TESTS, program NAME_test.
+#                   [BENCHMARKS ...] [BENCHMARK_DEPENDS ...])
+# Defines library pollenreel_NAME and, from TESTS, program NAME_test; from
+# BENCHMARKS, a library that the program pollenreel_bench takes in.
 function(pollenreel_library name)
-  cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS;TESTS;TEST_DEPENDS" ${ARGN})
+  cmake_parse_arguments(arg "" "" 
+    "SOURCES;DEPENDS;TESTS;TEST_DEPENDS;BENCHMARKS;BENCHMARK_DEPENDS" ${ARGN})
   if(arg_SOURCES)
     add_library(pollenreel_${name} STATIC ${arg_SOURCES})
     target_link_libraries(pollenreel_${name}
@@ -40,4 +43,11 @@
       PRIVATE pollenreel_${name} ${arg_TEST_DEPENDS})
     add_test(NAME ${name} COMMAND ${name}_test)
   endif()
+  if(arg_BENCHMARKS)
+    add_library(${name}_benchmarks STATIC ${arg_BENCHMARKS})
+    target_link_libraries(${name}_benchmarks
+      PUBLIC pollenreel_${name} pollenreel_measure ${arg_BENCHMARK_DEPENDS})
+    set_property(GLOBAL APPEND PROPERTY POLLENREEL_BENCHMARKS
+      ${name}_benchmarks)
+  endif()
 endfunction()
--- a/pollenreel/base/ids.hpp
+++ b/pollenreel/base/ids.hpp
@@ -60,6 +60,8 @@
 using kind_id = text_id<struct kind_tag>;
 using region_id = text_id<struct region_tag>;
 using failure_domain_id = text_id<struct failure_domain_tag>;
+// The command id of the command that began the shift.
+using shift_id = text_id<struct shift_tag>;
 // Chosen by whoever issues an operator command; makes it idempotent.
 using command_id = text_id<struct command_tag>;
 
--- a/pollenreel/control/change.cpp
+++ b/pollenreel/control/change.cpp
@@ -1,8 +1,9 @@
 #include "pollenreel/control/change.hpp"
 
-#include "pollenreel/base/overloaded.hpp"
+#include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 namespace pollenreel::control {
 
@@ -15,8 +16,8 @@
     }
     [[nodiscard]] std::string message(int value) const override {
         switch (static_cast<change_error>(value)) {
-        case change_error::unknown_target:
-            return "unknown target";
+        case change_error::unknown_name:
+            return "unknown name";
         case change_error::no_effect:
             return "nothing to change";
         }
@@ -24,7 +25,26 @@
     }
 };
 
-bool declares(const declarations::document& d, const base::target_id& id) {
+using declarations::configuration;
+using declarations::document;
+
+base::failure unknown(std::string_view kind, const std::string& name) {
+    return {make_error_code(change_error::unknown_name),
+            fmt::format("no {} is called '{}'", kind, name)};
+}
+
+base::failure no_effect(std::string why) {
+    return {make_error_code(change_error::no_effect), std::move(why)};
+}
+
+const declarations::service* find_service(const document& d,
+                                          const base::service_id& id) {
+    const auto found = std::find_if(d.services.begin(), d.services.end(),
+                                    [&](const auto& s) { return s.id == id; });
+    return found == d.services.end() ? nullptr : &*found;
+}
+
+bool declares(const document& d, const base::target_id& id) {
     return std::any_of(
         d.services.begin(), d.services.end(), [&](const auto& s) {
             return std::any_of(s.targets.begin(), s.targets.end(),
@@ -32,35 +52,162 @@
         });
 }
 
-base::result<std::string> mutate(declarations::configuration& c,
-                                 const apply_document& m) {
+bool declares(const document& d, const base::region_id& id) {
+    return std::any_of(d.regions.begin(), d.regions.end(),
+                       [&](const auto& r) { return r.id == id; });
+}
+
+bool declares(const document& d, const base::failure_domain_id& id) {
+    return std::any_of(d.regions.begin(), d.regions.end(), [&](const auto& r) {
+        return std::find(r.failure_domains.begin(), r.failure_domains.end(),
+                         id) != r.failure_domains.end();
+    });
+}
+
+// Instances are not declared; any name may be drained.
+bool declares(const document&, const base::instance_id&) {
+    return true;
+}
+
+std::set<base::target_id>& drained(declarations::steering& s,
+                                   const base::target_id&) {
+    return s.drained_targets;
+}
+std::set<base::failure_domain_id>& drained(declarations::steering& s,
+                                           const base::failure_domain_id&) {
+    return s.drained_domains;
+}
+std::set<base::instance_id>& drained(declarations::steering& s,
+                                     const base::instance_id&) {
+    return s.drained_instances;
+}
+
+base::result<std::string> mutate(configuration& c, const apply_document& m) {
     if (c.declared == m.document) {
-        return base::failure{make_error_code(change_error::no_effect), ""};
+        return no_effect("this is declared already");
     }
     c.declared = m.document;
     return std::string("apply declarations");
 }
 
-base::result<std::string> mutate(declarations::configuration& c,
-                                 const language::drain_target& m) {
-    if (!declares(c.declared, m.target)) {
-        return base::failure{make_error_code(change_error::unknown_target),
-                             m.target.str()};
+base::result<std::string> mutate(configuration& c, const language::drain& m) {
+    return std::visit(
+        [&](const auto& id) -> base::result<std::string> {
+            if (!declares(c.declared, id)) {
+                return unknown("such thing", id.str());
+            }
+            if (!drained(c.commanded, id).insert(id).second) {
+                return no_effect(id.str() + " is drained already");
+            }
+            return "drain " + id.str();
+        },
+        m.what);
+}
+
+base::result<std::string> mutate(configuration& c, const language::undrain& m) {
+    return std::visit(
+        [&](const auto& id) -> base::result<std::string> {
+            if (drained(c.commanded, id).erase(id) == 0) {
+                return no_effect(id.str() + " is not drained");
+            }
+            return "undrain " + id.str();
+        },
+        m.what);
+}
+
+base::result<std::string> mutate(configuration& c,
+                                 const language::start_shift& m) {
+    if (find_service(c.declared, m.service) == nullptr) {
+        return unknown("service", m.service.str());
     }
-    if (!c.commanded.drained_targets.insert(m.target).second) {
-        return base::failure{make_error_code(change_error::no_effect),
-                             m.target.str() + " is drained already"};
+    for (const auto& region : {m.from, m.to}) {
+        if (!declares(c.declared, region)) {
+            return unknown("region", region.str());
+        }
     }
-    return "drain target " + m.target.str();
+    c.commanded.shifts.push_back(
+        {base::shift_id(c.command.str()), m.service, m.from, m.to, m.percent,
+         m.cap_megabits_per_second, m.over, declarations::shift_state::active});
+    return fmt::format("shift {} {} -> {} {}%", m.service.str(), m.from.str(),
+                       m.to.str(), m.percent);
 }
 
-base::result<std::string> mutate(declarations::configuration& c,
-                                 const language::undrain_target& m) {
-    if (c.commanded.drained_targets.erase(m.target) == 0) {
-        return base::failure{make_error_code(change_error::no_effect),
-                             m.target.str() + " is not drained"};
+base::result<std::string> set_state(configuration& c, const base::shift_id& id,
+                                    declarations::shift_state state,
+                                    std::string_view verb) {
+    for (auto& s : c.commanded.shifts) {
+        if (s.id == id) {
+            if (s.state == state) {
+                return no_effect("the shift is in that state already");
+            }
+            s.state = state;
+            return fmt::format("{} shift {}", verb, id.str());
+        }
     }
-    return "undrain target " + m.target.str();
+    return unknown("shift", id.str());
+}
+
+base::result<std::string> mutate(configuration& c,
+                                 const language::pause_shift& m) {
+    return set_state(c, m.shift, declarations::shift_state::paused, "pause");
+}
+
+base::result<std::string> mutate(configuration& c,
+                                 const language::resume_shift& m) {
+    return set_state(c, m.shift, declarations::shift_state::active, "resume");
+}
+
+base::result<std::string> mutate(configuration& c,
+                                 const language::reverse_shift& m) {
+    return set_state(c, m.shift, declarations::shift_state::reversing,
+                     "reverse");
+}
+
+base::result<std::string> mutate(configuration& c,
+                                 const language::abort_shift& m) {
+    const auto gone = std::erase_if(
+        c.commanded.shifts, [&](const auto& s) { return s.id == m.shift; });
+    if (gone == 0) {
+        return unknown("shift", m.shift.str());
+    }
+    return "abort shift " + m.shift.str();
+}
+
+bool same_scope(const declarations::limit& l, const base::service_id& service,
+                const base::region_id& region) {
+    return l.service == service && l.region == region;
+}
+
+base::result<std::string> mutate(configuration& c,
+                                 const language::set_limit& m) {
+    if (find_service(c.declared, m.service) == nullptr) {
+        return unknown("service", m.service.str());
+    }
+    if (!declares(c.declared, m.region)) {
+        return unknown("region", m.region.str());
+    }
+    std::erase_if(c.commanded.limits, [&](const auto& l) {
+        return same_scope(l, m.service, m.region);
+    });
+    c.commanded.limits.push_back({m.service, m.region, m.requests_per_second});
+    return fmt::format("limit {} in {} to {}/s", m.service.str(),
+                       m.region.str(), m.requests_per_second);
+}
+
+base::result<std::string> mutate(configuration& c,
+                                 const language::remove_limit& m) {
+    const auto gone = std::erase_if(c.commanded.limits, [&](const auto& l) {
+        return same_scope(l, m.service, m.region);
+    });
+    if (gone == 0) {
+        return no_effect("there is no such limit");
+    }
+    return fmt::format("remove limit of {} in {}", m.service.str(),
+                       m.region.str());
+}
+
+base::result<std::string> mutate(configuration& c, const language::change& m) {
+    return std::visit([&](const auto& one) { return mutate(c, one); }, m);
 }
 
 } // namespace
@@ -73,6 +220,8 @@
 base::result<declarations::configuration>
 apply(const change& c, const declarations::configuration& current) {
     auto changed = current;
+    changed.command = c.command;
+    changed.author = c.author;
     auto mutated = std::visit([&](const auto& m) { return mutate(changed, m); },
                               c.mutation);
     if (!mutated) {
@@ -80,8 +229,6 @@
     }
     changed.summary = mutated.value();
     changed.version = current.version.next();
-    changed.command = c.command;
-    changed.author = c.author;
     return changed;
 }
 
--- a/pollenreel/control/change.hpp
+++ b/pollenreel/control/change.hpp
@@ -17,8 +17,7 @@
     declarations::document document;
 };
 
-using mutation = std::variant<apply_document, language::drain_target,
-                              language::undrain_target>;
+using mutation = std::variant<apply_document, language::change>;
 
 struct change {
     base::command_id command; // makes the change idempotent
@@ -26,10 +25,10 @@
     control::mutation mutation;
 };
 
-enum class change_error { unknown_target = 1, no_effect };
+enum class change_error { unknown_name = 1, no_effect };
 [[nodiscard]] std::error_code make_error_code(change_error e);
 
-// The configuration after `c`, one version on. Fails with unknown_target, or
+// The configuration after `c`, one version on. Fails with unknown_name, or
 // no_effect when `c` would change nothing.
 [[nodiscard]] base::result<declarations::configuration>
 apply(const change& c, const declarations::configuration& current);
--- a/pollenreel/control/core.cpp
+++ b/pollenreel/control/core.cpp
@@ -108,6 +108,9 @@
             [&](const language::where& q) {
                 out.emplace_back(where_answer(e.call, q, m_configuration));
             },
+            [&](const auto&) {
+                out.emplace_back(answer(e.call, refused{"not answered yet"}));
+            },
         },
         e.query);
 }
--- a/pollenreel/control/core.hpp
+++ b/pollenreel/control/core.hpp
@@ -48,7 +48,7 @@
 };
 struct query_received {
     call_id call;
-    std::variant<language::status, language::where> query;
+    language::query query;
 };
 struct change_received {
     call_id call;
--- a/pollenreel/declarations/codec_test.cpp
+++ b/pollenreel/declarations/codec_test.cpp
@@ -76,6 +76,14 @@
     c.summary = "first";
     c.declared = declarations::parse_document(good).value();
     c.commanded.drained_targets.insert(base::target_id("cat-1"));
+    c.commanded.drained_domains.insert(base::failure_domain_id("khomas-a"));
+    c.commanded.drained_instances.insert(base::instance_id("khomas-a-1"));
+    c.commanded.shifts.push_back(
+        {base::shift_id("cmd-0"), base::service_id("catalogue"),
+         base::region_id("khomas"), base::region_id("erongo"), 30, 400,
+         std::chrono::seconds(600), declarations::shift_state::paused});
+    c.commanded.limits.push_back(
+        {base::service_id("catalogue"), base::region_id("erongo"), 500});
     const auto back = declarations::decode(declarations::encode(c));
     REQUIRE(back.has_value());
     CHECK(back.value().version == c.version);
--- a/pollenreel/declarations/configuration.cpp
+++ b/pollenreel/declarations/configuration.cpp
@@ -3,6 +3,7 @@
 #include "pollenreel/declarations/codec.hpp"
 #include "pollenreel/declarations/error.hpp"
 #include "pollenreel/declarations/internal/json_reader.hpp"
+#include "pollenreel/declarations/steering_codec.hpp"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -14,17 +15,12 @@
 namespace json = boost::json;
 
 std::string encode(const configuration& c) {
-    json::array drained;
-    for (const auto& t : c.commanded.drained_targets) {
-        drained.emplace_back(t.str());
-    }
-    return json::serialize(json::object{
-        {"version", c.version.value()},
-        {"command", c.command.str()},
-        {"author", c.author},
-        {"summary", c.summary},
-        {"declared", to_json(c.declared)},
-        {"commanded", json::object{{"drained_targets", drained}}}});
+    return json::serialize(json::object{{"version", c.version.value()},
+                                        {"command", c.command.str()},
+                                        {"author", c.author},
+                                        {"summary", c.summary},
+                                        {"declared", to_json(c.declared)},
+                                        {"commanded", to_json(c.commanded)}});
 }
 
 base::result<configuration> decode(std::string_view text) {
@@ -43,11 +39,7 @@
         read.command = base::command_id(r.at("command").text());
         read.author = r.at("author").text();
         read.summary = r.at("summary").text();
-        const auto commanded = r.at("commanded");
-        commanded.allow_keys({"drained_targets"});
-        commanded.at("drained_targets").each([&](const auto& t) {
-            read.commanded.drained_targets.insert(base::target_id(t.text()));
-        });
+        read.commanded = read_steering(r.at("commanded"));
         BOOST_OUTCOME_TRY(read.declared, parse_document(value.at("declared")));
         return read;
     } catch (const internal::read_failure& f) {
--- a/pollenreel/declarations/configuration.hpp
+++ b/pollenreel/declarations/configuration.hpp
@@ -7,15 +7,47 @@
 #include "pollenreel/base/ids.hpp"
 #include "pollenreel/declarations/document.hpp"
 
+#include <chrono>
+#include <cstdint>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace pollenreel::declarations {
 
+enum class shift_state { active, paused, reversing };
+
+// A commanded move of a service's traffic between regions.
+struct shift {
+    base::shift_id id;
+    base::service_id service;
+    base::region_id from;
+    base::region_id to;
+    std::uint32_t percent = 0;
+    std::uint64_t cap_megabits_per_second = 0;
+    std::chrono::seconds over{0};
+    shift_state state = shift_state::active;
+
+    friend bool operator==(const shift&, const shift&) = default;
+};
+
+// Most requests a second that the targets of `service` in `region` are given.
+struct limit {
+    base::service_id service;
+    base::region_id region;
+    std::uint64_t requests_per_second = 0;
+
+    friend bool operator==(const limit&, const limit&) = default;
+};
+
 // Operators' standing commands.
 struct steering {
     std::set<base::target_id> drained_targets;
+    std::set<base::failure_domain_id> drained_domains;
+    std::set<base::instance_id> drained_instances;
+    std::vector<shift> shifts;
+    std::vector<limit> limits;
 
     friend bool operator==(const steering&, const steering&) = default;
 };
--- a/pollenreel/language/parser.cpp
+++ b/pollenreel/language/parser.cpp
@@ -62,34 +62,47 @@
     return boost::outcome_v2::success();
 }
 
-base::result<command> parse_where(word_list& words) {
+template <class Query>
+base::result<command> parse_service_from(word_list& words) {
     BOOST_OUTCOME_TRY(auto service, name(words, "the name of a service"));
     BOOST_OUTCOME_TRY(keyword(words, "from"));
     BOOST_OUTCOME_TRY(auto from, name(words, "the name of a failure domain"));
     return command(
-        where{base::service_id(service), base::failure_domain_id(from)});
+        query(Query{base::service_id(service), base::failure_domain_id(from)}));
 }
 
-template <class Command>
-base::result<command> parse_target(word_list& words) {
-    BOOST_OUTCOME_TRY(keyword(words, "target"));
-    BOOST_OUTCOME_TRY(auto target, name(words, "the name of a target"));
-    return command(Command{base::target_id(target)});
+base::result<drainable> parse_drainable(word_list& words) {
+    const auto kind = words.next();
+    if (kind.text == "target") {
+        BOOST_OUTCOME_TRY(auto id, name(words, "the name of a target"));
+        return drainable(base::target_id(id));
+    }
+    if (kind.text == "domain") {
+        BOOST_OUTCOME_TRY(auto id, name(words, "the name of a failure domain"));
+        return drainable(base::failure_domain_id(id));
+    }
+    if (kind.text == "instance") {
+        BOOST_OUTCOME_TRY(auto id, name(words, "the name of an instance"));
+        return drainable(base::instance_id(id));
+    }
+    return expected(kind, "one of target, domain, instance");
 }
 
 base::result<command> parse_first(word_list& words) {
     const auto verb = words.next();
     if (verb.text == "status") {
-        return command(status{});
+        return command(query(status{}));
     }
     if (verb.text == "where") {
-        return parse_where(words);
+        return parse_service_from<where>(words);
     }
     if (verb.text == "drain") {
-        return parse_target<drain_target>(words);
+        BOOST_OUTCOME_TRY(auto what, parse_drainable(words));
+        return command(change(drain{what}));
     }
     if (verb.text == "undrain") {
-        return parse_target<undrain_target>(words);
+        BOOST_OUTCOME_TRY(auto what, parse_drainable(words));
+        return command(change(undrain{what}));
     }
     return expected(verb, "one of status, where, drain, undrain");
 }
--- a/pollenreel/node/operator_interface.cpp
+++ b/pollenreel/node/operator_interface.cpp
@@ -61,14 +61,11 @@
     }
     return std::visit(
         base::overloaded{
-            [&](const language::status& q) -> operator_call {
+            [&](const language::query& q) -> operator_call {
                 return control::query_received{id, q};
             },
-            [&](const language::where& q) -> operator_call {
-                return control::query_received{id, q};
-            },
-            [&](const auto& m) -> operator_call {
-                return control::change_received{id, change_of(r, m)};
+            [&](const language::change& c) -> operator_call {
+                return control::change_received{id, change_of(r, c)};
             },
         },
         parsed.value());
--- a/pollenreel/request/choose_target.cpp
+++ b/pollenreel/request/choose_target.cpp
@@ -39,10 +39,10 @@
 
 } // namespace
 
-filtered<choice> choose_target(const classified& c, const routing::snapshot& s,
-                               const in_flight_counts& in_flight,
-                               std::span<const base::target_id> tried,
-                               base::random& random) {
+filtered<choice>
+choose_target(const classified& c, const base::region_id& region,
+              const routing::snapshot& s, const in_flight_counts& in_flight,
+              std::span<const base::target_id> tried, base::random& random) {
     const auto service = s.services.find(c.service);
     if (service == s.services.end()) {
         return refusal{outcome::not_run, reason::no_target};
@@ -51,7 +51,7 @@
     if (among.empty()) {
         return refusal{outcome::not_run, reason::no_target};
     }
-    among = prefer(among, [&](const auto& t) { return t.region == s.region; });
+    among = prefer(among, [&](const auto& t) { return t.region == region; });
     const auto* first = among[random.below(among.size())];
     const auto* second = among[random.below(among.size())];
     const bool second_is_freer =
--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -1,6 +1,7 @@
 #include "pollenreel/request/core.hpp"
 
 #include "pollenreel/request/admit.hpp"
+#include "pollenreel/request/choose_region.hpp"
 #include "pollenreel/request/classify.hpp"
 
 namespace pollenreel::request {
@@ -59,8 +60,12 @@
         return refuse(p.request.id,
                       {outcome::not_run, reason::deadline_expired}, out);
     }
-    auto chosen =
-        choose_target(p.request, *m_snapshot, m_in_flight, p.tried, m_random);
+    const auto region = choose_region(p.request, *m_snapshot);
+    if (const auto* r = std::get_if<refusal>(&region)) {
+        return refuse(p.request.id, *r, out);
+    }
+    auto chosen = choose_target(p.request, std::get<base::region_id>(region),
+                                *m_snapshot, m_in_flight, p.tried, m_random);
     if (const auto* r = std::get_if<refusal>(&chosen)) {
         return refuse(p.request.id, *r, out);
     }
--- a/pollenreel/routing/snapshot.cpp
+++ b/pollenreel/routing/snapshot.cpp
@@ -20,7 +20,9 @@
         one.region = partial.region_of.at(t.failure_domain);
         one.address = t.address;
         one.slots = t.slots;
-        one.accepts_new_work = !commanded.drained_targets.contains(t.id);
+        one.accepts_new_work =
+            !commanded.drained_targets.contains(t.id) &&
+            !commanded.drained_domains.contains(t.failure_domain);
         compiled.targets.push_back(std::move(one));
     }
     return compiled;
