--- /dev/null
+++ b/pollenreel/share/fleet_test.cpp
@@ -0,0 +1,298 @@
+// A region's holders and claimants together, with messages lost, late,
+// doubled and out of order, instances paused, killed and restarted, clocks
+// that run apart, and a store that is down or loses answers.
+#include "pollenreel/base/random.hpp"
+#include "pollenreel/share/claimant.hpp"
+#include "pollenreel/share/holder.hpp"
+#include "pollenreel/share/terms.hpp"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace pollenreel;
+using namespace std::chrono_literals;
+using share::parts;
+
+const base::region_id khomas("khomas");
+const auto to_erongo = share::region_pair(khomas, base::region_id("erongo"));
+constexpr std::size_t instances = 5;
+// Most that run at once, paused ones that were replaced among them.
+constexpr std::uint32_t fleet_instances = 40;
+
+// How likely each fault is, out of 1000.
+struct faults {
+    const char* name;
+    std::uint64_t lose_message = 0;
+    std::uint64_t double_message = 0;
+    std::uint64_t delay_message = 0; // by up to 20 minutes
+    std::uint64_t pause = 0;         // for up to 20 minutes, at each second
+    std::uint64_t kill = 0;          // at each second
+    std::uint64_t lose_answer = 0;   // of the store
+    base::duration store_down_from{};
+    base::duration store_down_for{};
+};
+
+struct node {
+    std::unique_ptr<share::claimant> claimant;
+    std::unique_ptr<share::holder> holder;
+    double clock_rate = 1;
+    base::duration paused_until{};
+    base::duration replaced_at{};
+};
+
+class fleet {
+public:
+    fleet(const faults& f, std::uint64_t seed) : m_faults(f), m_random(seed) {
+        for (std::size_t i = 0; i < instances; ++i) {
+            start(i);
+        }
+    }
+
+    // Runs for `d`; returns the most of the cap that was usable at once.
+    parts run(base::duration d) {
+        parts most;
+        for (; m_now < d; m_now += 100ms) {
+            std::erase_if(m_zombies, [&](const auto& n) {
+                return m_now - n.replaced_at > 20min;
+            });
+            deliver();
+            for (std::size_t i = 0; i < instances; ++i) {
+                step(i);
+            }
+            most = std::max(most, usable());
+        }
+        return most;
+    }
+
+    parts usable() const {
+        parts sum;
+        for (const auto& n : m_nodes) {
+            if (n.claimant) {
+                sum = sum + n.claimant->share_of(to_erongo, local(n)).now;
+            }
+        }
+        for (const auto& n : m_zombies) {
+            sum = sum + n.claimant->share_of(to_erongo, local(n)).now;
+        }
+        return sum;
+    }
+
+private:
+    struct message {
+        base::duration at;
+        std::function<void()> deliver;
+    };
+
+    base::time_point local(const node& n) const {
+        const auto since = std::chrono::duration<double>(m_now) * n.clock_rate;
+        return base::time_point(1h) +
+               std::chrono::duration_cast<base::duration>(since);
+    }
+    bool chance(std::uint64_t of_1000) {
+        return of_1000 > 0 && m_random.below(1000) < of_1000;
+    }
+
+    void start(std::size_t i) {
+        const share::claimant_id self{
+            base::instance_id("i" + std::to_string(i)), ++m_incarnation};
+        node n;
+        n.claimant = std::make_unique<share::claimant>(
+            self, base::endpoint{"127.0.0.1", static_cast<std::uint16_t>(i)},
+            share::floor_share(fleet_instances));
+        n.claimant->want(to_erongo, share::whole);
+        n.holder = std::make_unique<share::holder>(khomas, "k", self,
+                                                   share::leased_pool);
+        n.clock_rate = 1 + (m_random.unit() - 0.5) * share::clock_rate_error;
+        m_nodes[i] = std::move(n);
+    }
+
+    void post(base::duration earliest, std::function<void()> f) {
+        if (chance(m_faults.lose_message)) {
+            return;
+        }
+        auto at = m_now + earliest;
+        if (chance(m_faults.delay_message)) {
+            at += std::chrono::seconds(m_random.below(1200));
+        }
+        if (chance(m_faults.double_message)) {
+            m_messages.push_back({at + 2s, f});
+        }
+        m_messages.push_back({at, std::move(f)});
+    }
+
+    void deliver() {
+        std::vector<message> ready;
+        std::erase_if(m_messages, [&](message& m) {
+            const bool now = m.at <= m_now;
+            if (now) {
+                ready.push_back(std::move(m));
+            }
+            return now;
+        });
+        for (auto& m : ready) {
+            m.deliver();
+        }
+    }
+
+    void step(std::size_t i) {
+        const bool each_second = m_now % 1s == 0s;
+        if (each_second && chance(m_faults.kill)) {
+            // It may have been paused, not dead: it goes on using its share.
+            m_nodes[i].replaced_at = m_now;
+            m_zombies.push_back(std::move(m_nodes[i]));
+            start(i);
+        }
+        auto& n = m_nodes[i];
+        if (each_second && chance(m_faults.pause)) {
+            n.paused_until = m_now + std::chrono::seconds(m_random.below(1200));
+        }
+        if (m_now < n.paused_until) {
+            return;
+        }
+        if (const auto call = n.holder->tick(local(n), i < 2)) {
+            call_store(i, *call);
+        }
+        if (const auto a = n.claimant->next_ask(khomas, local(n))) {
+            post(100ms, [this, a = *a] { on_ask(a); });
+        }
+    }
+
+    // A paused instance handles what has arrived when it wakes.
+    template <class Handle>
+    void when_awake(std::size_t i, Handle handle) {
+        const auto wakes = m_nodes[i].paused_until;
+        if (m_now < wakes) {
+            m_messages.push_back({wakes, std::move(handle)});
+        } else {
+            handle();
+        }
+    }
+
+    void on_ask(const share::ask& a) {
+        for (std::size_t i = 0; i < 2; ++i) {
+            when_awake(i, [this, i, a] {
+                auto& n = m_nodes[i];
+                if (const auto g = n.holder->on_ask(a, local(n))) {
+                    post(100ms, [this, to = a.reply_to.port, g = *g] {
+                        on_grant(to, g);
+                    });
+                }
+            });
+        }
+    }
+
+    void on_grant(std::size_t i, const share::grant& g) {
+        when_awake(i, [this, i, g] {
+            m_nodes[i].claimant->on_grant(g, local(m_nodes[i]));
+        });
+    }
+
+    void call_store(std::size_t i, const store::request& r) {
+        const bool down =
+            m_now >= m_faults.store_down_from &&
+            m_now < m_faults.store_down_from + m_faults.store_down_for;
+        auto reply = down ? store::reply(store::unreachable{}) : apply(r);
+        if (!down && chance(m_faults.lose_answer)) {
+            reply = store::unanswered{};
+        }
+        auto* asker = m_nodes[i].holder.get();
+        m_messages.push_back({m_now + 100ms, [this, i, asker, reply] {
+                                  on_reply(i, asker, reply);
+                              }});
+    }
+
+    void on_reply(std::size_t i, const share::holder* asker,
+                  const store::reply& reply) {
+        when_awake(i, [this, i, asker, reply] {
+            auto& n = m_nodes[i];
+            if (n.holder.get() == asker) {
+                n.holder->on_reply(reply, local(n));
+            }
+        });
+    }
+
+    store::reply apply(const store::request& r) {
+        const auto* w = std::get_if<store::compare_and_swap>(&r);
+        if (w == nullptr) {
+            return store::found{m_stored};
+        }
+        const auto at = m_stored ? m_stored->modified : store::revision{};
+        if (w->expected != at) {
+            return store::conflicting{m_stored};
+        }
+        m_stored = store::entry{w->key, w->value, {++m_revision}};
+        return store::swapped{{m_revision}};
+    }
+
+    faults m_faults;
+    base::random m_random;
+    base::duration m_now{};
+    std::uint64_t m_incarnation = 0;
+    std::vector<node> m_nodes{instances};
+    std::vector<node> m_zombies;
+    std::vector<message> m_messages;
+    std::optional<store::entry> m_stored;
+    std::int64_t m_revision = 0;
+};
+
+} // namespace
+
+TEST_CASE("the fleet never holds more than the cap") {
+    const faults rows[] = {
+        {"no faults"},
+        {"lost and doubled messages", 200, 200, 0},
+        {"late messages", 50, 50, 200},
+        {"paused instances", 0, 0, 0, 2},
+        {"killed instances", 0, 0, 0, 0, 2},
+        {"lost answers of the store", 0, 0, 0, 0, 0, 300},
+        {"store down", 0, 0, 0, 0, 0, 0, 10min, 10min},
+        {"paused and late", 50, 50, 200, 2},
+        {"killed and lost answers", 0, 0, 0, 0, 2, 300},
+        {"store down and paused", 0, 0, 0, 2, 0, 0, 10min, 10min},
+        {"all at once", 100, 100, 100, 2, 2, 200, 10min, 10min},
+    };
+    for (const auto& r : rows) {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            INFO(std::string(r.name));
+            CAPTURE(seed);
+            fleet f(r, seed);
+            CHECK(f.run(40min).value <= share::whole.value);
+        }
+    }
+}
+
+TEST_CASE("what the fleet keeps") {
+    struct row {
+        const char* name;
+        faults with;
+        base::duration at;
+        parts least;
+    };
+    const row rows[] = {
+        {"all of it soon after the start", {"none"}, 10s, {950'000}},
+        {"all of it at the end of a 10-minute outage",
+         {"down", 0, 0, 0, 0, 0, 0, 5min, 10min},
+         15min,
+         {950'000}},
+        {"the floor after an outage of 20 minutes",
+         {"down", 0, 0, 0, 0, 0, 0, 5min, 20min},
+         25min,
+         {2'000}},
+        {"all of it again after it",
+         {"down", 0, 0, 0, 0, 0, 0, 5min, 20min},
+         26min,
+         {950'000}},
+    };
+    for (const auto& r : rows) {
+        INFO(std::string(r.name));
+        fleet f(r.with, 1);
+        (void)f.run(r.at);
+        CHECK(f.usable() >= r.least);
+    }
+}
--- /dev/null
+++ b/pollenreel/share/holder_test.cpp
@@ -0,0 +1,151 @@
+#include "pollenreel/share/holder.hpp"
+
+#include "pollenreel/share/terms.hpp"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace pollenreel;
+using namespace std::chrono_literals;
+using share::parts;
+
+constexpr base::time_point start{1h};
+const base::region_id khomas("khomas");
+const auto to_erongo = share::region_pair(khomas, base::region_id("erongo"));
+
+share::holder make(const char* id) {
+    return {khomas, "k", {base::instance_id(id), 1}, share::whole};
+}
+
+// A key of the store and a driver of holders against it.
+struct one_key {
+    std::optional<store::entry> stored;
+    std::int64_t revision = 0;
+
+    store::reply apply(const store::request& r) {
+        const auto* w = std::get_if<store::compare_and_swap>(&r);
+        if (w == nullptr) {
+            return store::found{stored};
+        }
+        const auto at = stored ? stored->modified : store::revision{};
+        if (w->expected != at) {
+            return store::conflicting{stored};
+        }
+        stored = store::entry{w->key, w->value, {++revision}};
+        return store::swapped{{revision}};
+    }
+
+    // Runs `h` up to `until`, one call per `step`.
+    void run(share::holder& h, base::time_point from, base::time_point until) {
+        for (auto now = from; now <= until; now += 100ms) {
+            if (const auto call = h.tick(now, true)) {
+                h.on_reply(apply(*call), now);
+            }
+        }
+    }
+};
+
+share::ask ask(std::uint64_t sequence, parts held, parts want) {
+    return {{base::instance_id("x"), 1}, {}, khomas, sequence, 0,
+            {{to_erongo, held, want}}};
+}
+
+} // namespace
+
+TEST_CASE("a lease is used up to its term counted from before it was asked") {
+    one_key store;
+    auto h = make("a");
+    auto call = h.tick(start, true);
+    h.on_reply(store.apply(*call), start + 1s);
+    call = h.tick(start + 1s, true);
+    REQUIRE(std::holds_alternative<store::compare_and_swap>(*call));
+    h.on_reply(store.apply(*call), start + 5s);
+    CHECK(h.holds(start + 1s + share::lease_term - 1ms));
+    CHECK(!h.holds(start + 1s + share::lease_term));
+    CHECK(!h.on_ask(ask(1, {}, {500}), start + 1s + share::lease_term));
+}
+
+TEST_CASE("a challenger waits until the holder's lease is surely over") {
+    one_key store;
+    auto a = make("a");
+    auto b = make("b");
+    store.run(a, start, start + 4s);
+    REQUIRE(a.holds(start + 4s));
+    store.run(b, start + 4s, start + 4s + share::lease_term);
+    CHECK(!b.holds(start + 4s + share::lease_term));
+    store.run(b, start + 15s, start + 25s);
+    CHECK(b.holds(start + 25s));
+    CHECK(b.epoch() == a.epoch() + 1);
+    CHECK(!a.holds(start + 25s));
+    store.run(a, start + 25s, start + 26s);
+    CHECK(a.known_holder()->instance == base::instance_id("b"));
+}
+
+TEST_CASE("a released lease is taken at once, with what it had promised") {
+    one_key store;
+    auto a = make("a");
+    store.run(a, start, start + 1s);
+    CHECK(a.on_ask(ask(1, {}, {400}), start + 1s)->items[0].share == parts{});
+    store.run(a, start + 1s, start + 3s);
+    CHECK(a.on_ask(ask(2, {}, {400}), start + 3s)->items[0].share ==
+          parts{400});
+    a.release();
+    CHECK(!a.holds(start + 3s));
+    store.run(a, start + 3s, start + 4s);
+    auto b = make("b");
+    store.run(b, start + 4s, start + 8s);
+    REQUIRE(b.holds(start + 8s));
+    share::ask other{{base::instance_id("y"), 1},    {}, khomas, 1, 0,
+                     {{to_erongo, {}, share::whole}}};
+    (void)b.on_ask(other, start + 8s);
+    store.run(b, start + 8s, start + 9s);
+    other.sequence = 2;
+    CHECK(b.on_ask(other, start + 9s)->items[0].share <=
+          share::whole - parts{400});
+}
+
+TEST_CASE("a write whose answer was lost") {
+    struct row {
+        const char* name;
+        bool took_effect;
+    };
+    const row rows[] = {{"took effect", true}, {"was lost too", false}};
+    for (const auto& r : rows) {
+        CAPTURE(std::string(r.name));
+        one_key store;
+        auto h = make("a");
+        store.run(h, start, start + 4s);
+        REQUIRE(h.holds(start + 4s));
+        std::optional<store::request> call;
+        auto now = start + 4s;
+        while (!call) {
+            now += 100ms;
+            call = h.tick(now, true);
+        }
+        if (r.took_effect) {
+            (void)store.apply(*call);
+        }
+        h.on_reply(store::unanswered{}, now + 1s);
+        call = h.tick(now + 1s, true);
+        CHECK(std::holds_alternative<store::read>(*call));
+        h.on_reply(store.apply(*call), now + 1s);
+        store.run(h, now + 2s, now + 30s);
+        CHECK(h.holds(now + 30s));
+        CHECK(h.epoch() == 1);
+    }
+}
+
+TEST_CASE("progress of shifts is told only once it is stored") {
+    one_key store;
+    auto a = make("a");
+    store.run(a, start, start + 1s);
+    const base::shift_id shift("s1");
+    a.set_progress({{shift, parts{7}}});
+    CHECK(a.progress().empty());
+    store.run(a, start + 1s, start + 3s);
+    CHECK(a.progress().at(shift) == parts{7});
+    auto b = make("b");
+    store.run(b, start + 3s, start + 20s);
+    CHECK(b.progress().at(shift) == parts{7});
+}
