Prove the daemon from outside: exit codes, kill, planned stop, bad input

Four faults showed when it was met as its users meet it: a bad command line ended with exit code 1 in place of the documented 64 (TCLAP ends the process itself); a TRACE request with a body would have thrown in a traffic thread; a caller that left went unnoticed; an answer to HEAD carried a wrong length.

Change: tests with real processes (a fleet of stand-ins and daemons written for the run), a target stand-in that truncates, crosses, goes silent, closes, slows, drains and lags, callers that leave are told to the request core, an exception that escapes a handler is logged and ends only that handler.

Conclusion: no order was doubled, lost or wrongly said not-run when an instance was killed under load; a planned stop cut none of four requests in flight.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -31,6 +31,7 @@
         "s", "settings", "Settings file (INI)", true, "", "FILE", cmd);
     const TCLAP::SwitchArg check("", "check-settings",
                                  "Check the settings file and exit", cmd);
+    cmd.setExceptionHandling(false); // the exit codes are ours
     cmd.parse(argc, argv);
     return {path.getValue(), check.getValue()};
 }
@@ -98,6 +99,8 @@
         }
         const log::logger log(clock, "daemon", read.value().instance.log_level);
         return serve(read.value(), clock, log);
+    } catch (const TCLAP::ExitException& e) { // --help, --version
+        return e.getExitStatus();
     } catch (const TCLAP::ArgException& e) {
         starting.error("bad command line", {{"problem", e.error()}});
         return exit_bad_usage;
--- a/pollenreel/http/http_test.cpp
+++ b/pollenreel/http/http_test.cpp
@@ -1,6 +1,7 @@
 #include "pollenreel/http/client.hpp"
 #include "pollenreel/http/error.hpp"
 #include "pollenreel/http/server.hpp"
+#include "testing/ports.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -14,15 +15,10 @@
 
 using namespace pollenreel;
 using namespace std::chrono_literals;
+using testing::free_endpoint;
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-base::endpoint free_endpoint() {
-    asio::io_context io;
-    const tcp::acceptor probe(io, {asio::ip::address_v4::loopback(), 0});
-    return {"127.0.0.1", probe.local_endpoint().port()};
-}
-
 http::request get(std::string path) {
     http::request r;
     r.path = std::move(path);
@@ -146,3 +142,54 @@
         }
     }
 }
+
+TEST_CASE("a handler learns when its caller has left") {
+    struct row {
+        const char* name;
+        bool leaves;
+    };
+    const row rows[] = {
+        {"a caller that closes before the answer", true},
+        {"a caller that waits", false},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        asio::io_context io;
+        http::server_options options;
+        options.listen = free_endpoint();
+        int gone = 0;
+        std::optional<http::responder> held;
+        http::server server(io, options,
+                            [&](const http::request&, http::responder answer) {
+                                answer.on_gone([&] {
+                                    ++gone;
+                                    (*held)({200, {}, ""});
+                                });
+                                held = std::move(answer);
+                            });
+        REQUIRE(server.start().has_value());
+        tcp::socket caller(io);
+        caller.connect({asio::ip::make_address_v4(options.listen.host),
+                        options.listen.port});
+        asio::write(caller,
+                    asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+        while (!held) {
+            io.run_one();
+        }
+        if (r.leaves) {
+            caller.close();
+            while (server.connections() > 0) {
+                io.run_one();
+            }
+        } else {
+            (*held)({200, {}, ""});
+            std::string got;
+            asio::async_read_until(caller, asio::dynamic_buffer(got),
+                                   "\r\n\r\n", [](auto, auto) {});
+            while (got.empty()) {
+                io.run_one();
+            }
+        }
+        CHECK(gone == (r.leaves ? 1 : 0));
+    }
+}
--- a/pollenreel/http/server.cpp
+++ b/pollenreel/http/server.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -51,8 +52,40 @@
 
 } // namespace
 
+class responder::waiting {
+public:
+    waiting() = default;
+    waiting(const waiting&) = delete;
+    waiting& operator=(const waiting&) = delete;
+    virtual ~waiting() = default;
+    virtual void answer(response r) = 0;
+    virtual void abort(std::string bytes) = 0;
+    virtual void watch(std::function<void()> notify) = 0;
+};
+
+responder::responder(std::weak_ptr<waiting> to) : m_to(std::move(to)) {}
+
+void responder::operator()(response r) const {
+    if (const auto to = m_to.lock()) {
+        to->answer(std::move(r));
+    }
+}
+
+void responder::abort(std::string bytes) const {
+    if (const auto to = m_to.lock()) {
+        to->abort(std::move(bytes));
+    }
+}
+
+void responder::on_gone(std::function<void()> notify) const {
+    if (const auto to = m_to.lock()) {
+        to->watch(std::move(notify));
+    }
+}
+
 // One caller's connection.
-class session : public std::enable_shared_from_this<session> {
+class session : public responder::waiting,
+                public std::enable_shared_from_this<session> {
 public:
     struct owner {
         const server_options& options;
@@ -73,7 +106,7 @@
     }
     session(const session&) = delete;
     session& operator=(const session&) = delete;
-    ~session() {
+    ~session() override {
         if (!m_orphaned) {
             m_owner.sessions.erase(this);
         }
@@ -92,6 +125,30 @@
             });
     }
 
+    void answer(response r) override {
+        if (m_waiting) {
+            write(std::move(r));
+        }
+    }
+
+    void abort(std::string bytes) override {
+        if (!m_waiting) {
+            return;
+        }
+        auto kept = std::make_shared<std::string>(std::move(bytes));
+        asio::async_write(
+            m_stream, asio::buffer(*kept),
+            [self = shared_from_this(), kept](beast::error_code, std::size_t) {
+                self->close();
+            });
+        m_waiting.reset();
+    }
+
+    void watch(std::function<void()> notify) override {
+        m_gone = std::move(notify);
+        watch_for_close();
+    }
+
     // Closes now if idle, else after the answer.
     void stop() {
         m_stopping = true;
@@ -126,26 +183,55 @@
         auto message = m_parser->release();
         m_keep_alive = message.keep_alive();
         m_stream.expires_never();
-        m_owner.handle(to_request(std::move(message), m_caller),
-                       [weak = weak_from_this()](response r) {
-                           if (auto self = weak.lock()) {
-                               self->write(std::move(r));
-                           }
-                       });
+        m_head = message.method() == bhttp::verb::head;
         m_waiting = shared_from_this();
+        m_owner.handle(to_request(std::move(message), m_caller),
+                       responder(weak_from_this()));
+    }
+
+    void watch_for_close() {
+        m_stream.socket().async_wait(
+            tcp::socket::wait_read,
+            [self = shared_from_this()](beast::error_code e) {
+                if (!e && self->m_waiting && self->closed_by_caller()) {
+                    self->on_caller_gone();
+                }
+            });
+    }
+
+    // Whether what is readable is the end of the stream; more bytes are a
+    // further request, which waits for its turn.
+    bool closed_by_caller() {
+        char next = 0;
+        beast::error_code e;
+        m_stream.socket().non_blocking(true, e);
+        const auto got = m_stream.socket().receive(
+            asio::buffer(&next, 1), tcp::socket::message_peek, e);
+        return got == 0 && e != asio::error::would_block;
+    }
+
+    void on_caller_gone() {
+        auto notify = std::move(m_gone);
+        m_gone = nullptr;
+        if (notify) {
+            notify();
+        }
     }
 
     void write(response r) {
         if (m_orphaned) {
             return;
         }
+        m_gone = nullptr;
         m_answer.emplace(static_cast<bhttp::status>(r.status), 11);
         for (const auto& h : r.headers) {
             m_answer->insert(h.name, h.value);
         }
         m_answer->keep_alive(m_keep_alive && !m_stopping);
-        m_answer->body() = std::move(r.body);
-        m_answer->prepare_payload();
+        if (!m_head) { // an answer to HEAD has no body, nor our length for it
+            m_answer->body() = std::move(r.body);
+            m_answer->prepare_payload();
+        }
         m_stream.expires_after(m_owner.options.idle_timeout);
         bhttp::async_write(
             m_stream, *m_answer,
@@ -176,6 +262,8 @@
     std::optional<bhttp::response<bhttp::string_body>> m_answer;
     std::shared_ptr<session> m_waiting; // keeps itself while unanswered
     std::uint32_t m_caller = 0;
+    std::function<void()> m_gone;
+    bool m_head = false;
     bool m_keep_alive = false;
     bool m_stopping = false;
     bool m_idle = false;
--- a/pollenreel/http/server.hpp
+++ b/pollenreel/http/server.hpp
@@ -18,12 +18,28 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace pollenreel::http {
 
-// Answers one request; to be called once. Calls after the caller has left do
-// nothing.
-using responder = std::function<void(response)>;
+// Answers one request; to be called once, on the server's thread. A call after
+// the caller has left does nothing.
+class responder {
+public:
+    class waiting; // the server's side
+
+    explicit responder(std::weak_ptr<waiting> to);
+    void operator()(response r) const;
+    // Sends `bytes` as they are and closes the connection: for stand-ins that
+    // misbehave on purpose.
+    void abort(std::string bytes) const;
+    // `notify` is called at most once, when the caller closes its connection
+    // or its sending side before it is answered.
+    void on_gone(std::function<void()> notify) const;
+
+private:
+    std::weak_ptr<waiting> m_to;
+};
 using handler = std::function<void(request, responder)>;
 
 struct server_options {
--- a/pollenreel/node/caller_interface.cpp
+++ b/pollenreel/node/caller_interface.cpp
@@ -124,6 +124,9 @@
 } // namespace
 
 caller_call read_call(const http::request& r, base::request_id id) {
+    if (is_any_of(r.method, {"TRACE", "CONNECT"})) {
+        return bad_call{405, "the method " + r.method + " is not served"};
+    }
     if (std::string_view(r.path).starts_with(service_prefix)) {
         return read_service_call(r, id);
     }
--- a/pollenreel/node/traffic_thread.cpp
+++ b/pollenreel/node/traffic_thread.cpp
@@ -56,7 +56,7 @@
     base::result<void> start() {
         BOOST_OUTCOME_TRY(m_server.start());
         keep_house();
-        m_thread = std::thread([this] { m_io.run(); });
+        m_thread = std::thread([this] { run(); });
         return boost::outcome_v2::success();
     }
 
@@ -86,11 +86,22 @@
     }
 
 private:
+    // An exception that escapes a handler ends that handler, not the thread.
+    void run() {
+        while (!m_io.stopped()) {
+            try {
+                m_io.run();
+            } catch (const std::exception& e) {
+                m_log.error("handler failed", {{"problem", e.what()}});
+            }
+        }
+    }
+
     struct waiting {
         http::request request;
         std::string path;
         std::string id;
-        http::responder answer;
+        std::optional<http::responder> answer;
     };
 
     void on_request(http::request r, http::responder answer) {
@@ -99,11 +110,14 @@
         std::visit(base::overloaded{
                        [&](const lookup_call& c) { answer(look_up(c)); },
                        [&](service_call& c) {
-                           m_waiting[c.arrival.id] = {
-                               std::move(r), std::move(c.path),
-                               m_options.request_id_prefix + "." +
-                                   std::to_string(c.arrival.id.value()),
-                               std::move(answer)};
+                           const auto id = c.arrival.id;
+                           answer.on_gone([this, id] {
+                               handle(request::caller_gone{id});
+                           });
+                           m_waiting[id] = {std::move(r), std::move(c.path),
+                                            m_options.request_id_prefix + "." +
+                                                std::to_string(id.value()),
+                                            std::move(answer)};
                            handle(c.arrival);
                        },
                        [&](const health_call&) {
@@ -168,9 +182,9 @@
         const auto found = m_waiting.find(id);
         r.headers.push_back({std::string(header_instance),
                              m_options.settings.instance.id.str()});
-        auto answer = std::move(found->second.answer);
+        const auto answer = std::move(found->second.answer);
         m_waiting.erase(found);
-        answer(std::move(r));
+        (*answer)(std::move(r));
     }
 
     void arm_wakeup() {
--- /dev/null
+++ b/testing/process_test.cpp
@@ -0,0 +1,199 @@
+// The daemon as its users meet it: real processes on loopback.
+#include "pollenreel/http/client.hpp"
+#include "testing/caller_load.hpp"
+#include "testing/fleet.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <zmq.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+namespace {
+
+using namespace pollenreel;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+http::request get(std::string path) {
+    http::request r;
+    r.path = std::move(path);
+    return r;
+}
+
+std::string raw_exchange(const base::endpoint& to, const std::string& bytes) {
+    asio::io_context io;
+    asio::ip::tcp::socket s(io);
+    s.connect({asio::ip::make_address_v4(to.host), to.port});
+    boost::system::error_code e;
+    asio::write(s, asio::buffer(bytes), e);
+    s.shutdown(asio::ip::tcp::socket::shutdown_send, e);
+    std::string got;
+    asio::read(s, asio::dynamic_buffer(got), e);
+    return got;
+}
+
+void send_peer_frame(const base::endpoint& to, const std::string& bytes) {
+    zmq::context_t context;
+    zmq::socket_t push(context, zmq::socket_type::push);
+    push.set(zmq::sockopt::linger, 1000);
+    push.connect("tcp://" + to.str());
+    push.send(zmq::buffer(bytes), zmq::send_flags::none);
+}
+
+std::string metrics(const testing::fleet& f) {
+    auto r = get("/metrics");
+    r.headers = {
+        {"Authorization", std::string("Bearer ") + testing::fleet::token}};
+    return http::call_and_wait(f.operators()[0], r, 2s).value().body;
+}
+
+int run_daemon(const std::vector<std::string>& words) {
+    testing::process p(POLLENREELD, words, "/dev/null");
+    return p.wait();
+}
+
+} // namespace
+
+TEST_CASE("the daemon's exit codes") {
+    const auto folder = std::filesystem::temp_directory_path();
+    const auto path =
+        (folder / ("pollenreel-" + std::to_string(::getpid()) + ".ini"))
+            .string();
+    std::ofstream(path) << "[instance]\nid = a\ncolour = red\n";
+    struct row {
+        const char* name;
+        std::vector<std::string> words;
+        int expected;
+    };
+    const row rows[] = {
+        {"no arguments", {}, 64},
+        {"an unknown option", {"--colour"}, 64},
+        {"no such settings file", {"--settings", "/nonexistent.ini"}, 78},
+        {"an unknown settings key", {"--settings", path}, 78},
+        {"help", {"--help"}, 0},
+        {"version", {"--version"}, 0},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        CHECK(run_daemon(r.words) == r.expected);
+    }
+    std::filesystem::remove(path);
+}
+
+TEST_CASE("callers carry on when an instance is killed under load") {
+    testing::fleet f({3, 3, 2ms});
+    REQUIRE(f.start());
+    testing::caller_load load(testing::fleet::service, f.callers(), "kill");
+    std::thread killer([&] {
+        std::this_thread::sleep_for(300ms);
+        f.signal(1, SIGKILL);
+    });
+    load.run(400);
+    killer.join();
+    CHECK(f.wait(1) == 128 + SIGKILL);
+    const auto a = testing::account(load.result(), "kill", f.targets());
+    CHECK(load.result().lost == 0);
+    CHECK(load.result().crossed == 0);
+    CHECK(a.doubled == 0);
+    CHECK(a.vanished == 0);
+    CHECK(a.phantom == 0);
+}
+
+TEST_CASE("a planned stop cuts no request") {
+    testing::fleet f({2, 2, 400ms});
+    REQUIRE(f.start());
+    std::vector<unsigned> statuses(4);
+    std::vector<std::thread> callers;
+    for (auto& status : statuses) {
+        callers.emplace_back([&status, &f] {
+            const auto answer = http::call_and_wait(
+                f.callers()[0], get("/svc/catalogue/slow"), 5s);
+            status = answer ? answer.value().status : 0;
+        });
+    }
+    std::this_thread::sleep_for(100ms);
+    f.signal(0, SIGTERM);
+    CHECK(f.wait(0) == 0);
+    for (auto& c : callers) {
+        c.join();
+    }
+    CHECK(statuses == std::vector<unsigned>(4, 200));
+    const auto answer = http::call_and_wait(
+        f.callers()[1], get("/lookup?service=catalogue"), 2s);
+    REQUIRE(answer.has_value());
+    CHECK(answer.value().body.find(f.callers()[0].str()) == std::string::npos);
+    CHECK(answer.value().body.find(f.callers()[1].str()) != std::string::npos);
+}
+
+TEST_CASE("bad input on any listener is refused and the instance serves on") {
+    testing::fleet f({1, 1, 2ms});
+    REQUIRE(f.start());
+    struct row {
+        const char* name;
+        base::endpoint to;
+        std::string bytes;
+        const char* answered; // part of the answer
+    };
+    const auto callers = f.callers()[0];
+    const auto operators = f.operators()[0];
+    const std::string token = testing::fleet::token;
+    const row rows[] = {
+        {"a caller that speaks no HTTP", callers, "hello\r\n\r\n", " 400 "},
+        {"an oversized header", callers,
+         "GET / HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n",
+         " 431 "},
+        {"an unknown path", callers, "GET /x HTTP/1.1\r\n\r\n", " 404 "},
+        {"an unknown service", callers, "GET /svc/x/ HTTP/1.1\r\n\r\n",
+         "Pollenreel-Outcome: not-run"},
+        {"a look-up without a service", callers, "GET /lookup HTTP/1.1\r\n\r\n",
+         " 400 "},
+        {"a broken escape", callers, "GET /lookup?service=%zz HTTP/1.1\r\n\r\n",
+         " 400 "},
+        {"a deadline that is no number", callers,
+         "GET /svc/catalogue/ HTTP/1.1\r\nPollenreel-Deadline-Ms: "
+         "soon\r\n\r\n",
+         " 400 "},
+        {"TRACE with a body", callers,
+         "TRACE /svc/catalogue/ HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi",
+         " 405 "},
+        {"an operator without a token", operators,
+         "POST /v1/command HTTP/1.1\r\nContent-Length: 6\r\n\r\nstatus",
+         " 401 "},
+        {"an operator with a wrong token", operators,
+         "POST /v1/command HTTP/1.1\r\nAuthorization: Bearer no\r\n"
+         "Content-Length: 6\r\n\r\nstatus",
+         " 401 "},
+        {"a command that is none", operators,
+         "POST /v1/command HTTP/1.1\r\nAuthorization: Bearer " + token +
+             "\r\nContent-Length: 5\r\n\r\nstaus",
+         "column 1"},
+        {"declarations that are no JSON", operators,
+         "PUT /v1/declarations HTTP/1.1\r\nAuthorization: Bearer " + token +
+             "\r\nContent-Length: 1\r\n\r\n{",
+         "not JSON"},
+        {"a peer that speaks no ZMTP", f.peers()[0], std::string(5000, '\xff'),
+         ""},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        const auto got = raw_exchange(r.to, r.bytes);
+        CHECK(got.find(r.answered) != std::string::npos);
+    }
+    send_peer_frame(f.peers()[0], "\xff\xff\xff\xff");
+    const std::string counted =
+        "pollenreel_malformed_messages_total{listener=\"peers\"} 1";
+    for (int i = 0; i < 100 && metrics(f).find(counted) == std::string::npos;
+         ++i) {
+        std::this_thread::sleep_for(50ms);
+    }
+    CHECK(metrics(f).find(counted) != std::string::npos);
+    const auto answer =
+        http::call_and_wait(callers, get("/svc/catalogue/x"), 2s);
+    REQUIRE(answer.has_value());
+    CHECK(answer.value().body == "/x\n");
+}
