Pace what crosses regions and plan the steps of a shift

Cause: a token bucket on sending lets held-up answers arrive together. Change: pollenreel/shift: a pacer that reserves for answers until they are in, steps of a shift along its pace within cap and headroom, spill into known room, and the spender that a traffic thread asks.

--- /dev/null
+++ b/pollenreel/shift/allowances.hpp
@@ -0,0 +1,61 @@
+// What the control thread lets one traffic thread send to other regions and
+// to limited services. Immutable; lies next to the routing snapshot. Each
+// rate carries the time until which it holds, so that a traffic thread keeps
+// to it also while the control thread is held up.
+#pragma once
+
+#include "pollenreel/base/clock.hpp"
+#include "pollenreel/base/ids.hpp"
+#include "pollenreel/share/resource.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace pollenreel::shift {
+
+// `now` until `until`, `after` from then on.
+struct usable_rate {
+    std::uint64_t now = 0;
+    std::uint64_t after = 0;
+    base::time_point until;
+
+    [[nodiscard]] std::uint64_t at(base::time_point t) const {
+        return t < until ? now : after;
+    }
+    friend bool operator==(const usable_rate&, const usable_rate&) = default;
+};
+
+// Part of a service's requests that goes to another region by a shift.
+struct moved_part {
+    base::shift_id shift;
+    base::service_id service;
+    base::region_id to;
+    share::parts fraction;
+    usable_rate bytes_per_second; // of the shift's cap
+
+    friend bool operator==(const moved_part&, const moved_part&) = default;
+};
+
+// A service's targets in one region.
+using place = std::pair<base::service_id, base::region_id>;
+
+struct allowances {
+    std::vector<moved_part> moves;
+    // Of the links' capacity, in bytes a second. Without an entry nothing is
+    // sent to a region.
+    std::map<base::region_id, usable_rate> ways;
+    // Requests a second; without an entry there is no limit.
+    std::map<place, usable_rate> limits;
+    // Requests in flight at another region's targets on behalf of a region
+    // whose own targets take no work.
+    std::map<place, std::uint32_t> spill;
+
+    friend bool operator==(const allowances&, const allowances&) = default;
+};
+
+using allowances_ptr = std::shared_ptr<const allowances>;
+
+} // namespace pollenreel::shift
--- /dev/null
+++ b/pollenreel/shift/headroom_test.cpp
@@ -0,0 +1,65 @@
+#include "pollenreel/shift/headroom.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace pollenreel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::time_point start{1h};
+
+} // namespace
+
+TEST_CASE("an entry takes its part of the room") {
+    struct row {
+        const char* name;
+        shift::place_load load;
+        base::duration reported_after;
+        base::duration asked_after;
+        double allowed;
+    };
+    const row rows[] = {
+        {"nothing at once", {100, 50, 0, 4}, 0s, 0s, 0},
+        {"half of its part half-way up the ramp", {100, 50, 0, 4}, 5s, 5s, 5},
+        {"its part of the room", {100, 50, 0, 4}, 10s, 10s, 10},
+        {"on top of what it had", {100, 70, 6, 4}, 10s, 10s, 11},
+        {"its part back when others fill the region",
+         {100, 98, 6, 4},
+         10s,
+         10s,
+         4},
+        {"nothing is added on late reports", {100, 50, 6, 4}, 10s, 16s, 6},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(std::string(r.name));
+        shift::room room;
+        room.on_report({100, 90, 0, 4}, start);
+        room.on_report(r.load, start + r.reported_after);
+        CHECK(room.allowed(start + r.asked_after) ==
+              doctest::Approx(r.allowed));
+    }
+}
+
+TEST_CASE("work returns late and slowly") {
+    struct row {
+        const char* name;
+        base::duration at;
+        bool own_takes_work;
+        double own_part;
+    };
+    const row rows[] = {
+        {"well", 0s, true, 1},        {"failed", 1s, false, 0},
+        {"back", 2s, true, 0},        {"failed again", 5s, false, 0},
+        {"back again", 10s, true, 0}, {"half-way back", 35s, true, 0.5},
+        {"all back", 50s, true, 1},
+    };
+    shift::returning r;
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        r.observe(row.own_takes_work, start + row.at);
+        CHECK(r.own_part(start + row.at) == doctest::Approx(row.own_part));
+    }
+}
--- /dev/null
+++ b/pollenreel/shift/pacer.cpp
@@ -0,0 +1,64 @@
+#include "pollenreel/shift/pacer.hpp"
+
+#include <algorithm>
+
+namespace pollenreel::shift {
+
+namespace {
+
+// How long a least round trip is believed. Trades what the link carries
+// against how soon a shorter path is noticed.
+constexpr std::chrono::seconds round_trip_period{30};
+// Part of the least round trip that is relied on.
+constexpr double round_trip_margin = 0.95;
+
+std::uint64_t per_window(std::uint64_t bytes_per_second) {
+    return bytes_per_second / (std::chrono::seconds(1) / cap_window);
+}
+
+} // namespace
+
+bool pacer::possible(const cost& c, std::uint64_t bytes_per_second) {
+    return std::max(c.request_bytes, c.answer_bytes) <=
+           per_window(bytes_per_second);
+}
+
+bool pacer::fits(const cost& c, std::uint64_t bytes_per_second,
+                 base::time_point now) {
+    const auto most = per_window(bytes_per_second);
+    return m_sent.sum(now) + c.request_bytes <= most &&
+           m_in_flight + m_received.sum(now) + c.answer_bytes <= most;
+}
+
+void pacer::start(const cost& c, base::time_point now) {
+    m_sent.add(c.request_bytes, now);
+    m_in_flight += c.answer_bytes;
+}
+
+void pacer::finish(const cost& c, std::uint64_t answer_bytes,
+                   std::optional<base::duration> took, base::time_point now) {
+    m_in_flight -= c.answer_bytes;
+    m_received.add(answer_bytes, now);
+    if (took) {
+        note_round_trip(*took, now);
+    }
+}
+
+void pacer::note_round_trip(base::duration took, base::time_point now) {
+    if (!m_period_began) {
+        m_period_began = now;
+    }
+    m_least_now = std::min(m_least_now, took);
+    if (now - *m_period_began >= round_trip_period) {
+        m_least_before = m_least_now;
+        m_least_now = base::duration::max();
+        m_period_began = now;
+    }
+    const auto least = std::min(m_least_now, m_least_before);
+    const auto relied_on = std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double>(least) * round_trip_margin);
+    m_received.set_window(
+        std::max<base::duration>(cap_window - relied_on, cap_window / 100));
+}
+
+} // namespace pollenreel::shift
--- /dev/null
+++ b/pollenreel/shift/plan_test.cpp
@@ -0,0 +1,124 @@
+#include "pollenreel/shift/plan.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace pollenreel;
+using namespace std::chrono_literals;
+using declarations::shift_state;
+using share::parts;
+using shift::hold;
+
+TEST_CASE("one step of a shift of 80% over 100 s, 5 s after the last") {
+    struct row {
+        const char* name;
+        shift_state state;
+        parts moved;
+        parts warm;
+        double held_back;
+        shift::load destination;
+        parts next;
+        hold why;
+    };
+    const shift::load idle{100, 0, 2s};
+    const row rows[] = {
+        {"along its pace",
+         shift_state::active,
+         {0},
+         {0},
+         0,
+         idle,
+         {40'000},
+         hold::none},
+        {"the last step",
+         shift_state::active,
+         {790'000},
+         {790'000},
+         0,
+         idle,
+         {800'000},
+         hold::none},
+        {"done",
+         shift_state::active,
+         {800'000},
+         {800'000},
+         0,
+         idle,
+         {800'000},
+         hold::done},
+        {"held by the cap",
+         shift_state::active,
+         {400'000},
+         {400'000},
+         0.1,
+         idle,
+         {400'000},
+         hold::cap},
+        // 85 - 80 slots are free, 40 are wanted in all, cold work takes 3x.
+        {"short of cold headroom",
+         shift_state::active,
+         {100'000},
+         {100'000},
+         0,
+         {100, 80, 2s},
+         {108'333},
+         hold::headroom},
+        {"headroom shrinks below what is moved",
+         shift_state::active,
+         {400'000},
+         {400'000},
+         0,
+         {100, 75, 2s},
+         {250'000},
+         hold::headroom},
+        {"late measurements",
+         shift_state::active,
+         {400'000},
+         {400'000},
+         0,
+         {100, 0, 11s},
+         {400'000},
+         hold::measurements_late},
+        {"paused",
+         shift_state::paused,
+         {400'000},
+         {400'000},
+         0,
+         idle,
+         {400'000},
+         hold::paused},
+        {"reversing",
+         shift_state::reversing,
+         {400'000},
+         {400'000},
+         0,
+         idle,
+         {360'000},
+         hold::reversing},
+        {"all back",
+         shift_state::reversing,
+         {0},
+         {0},
+         0,
+         idle,
+         {0},
+         hold::done},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(std::string(r.name));
+        shift::step_input in;
+        in.commanded.percent = 80;
+        in.commanded.over = 100s;
+        in.commanded.state = r.state;
+        in.moved = r.moved;
+        in.moved_before_cold_period = r.warm;
+        in.since_last_step = 5s;
+        in.slots_wanted = 40;
+        in.held_back = r.held_back;
+        in.destination = r.destination;
+        const auto s = shift::next_step(in);
+        CHECK(s.moved.value == r.next.value);
+        CHECK(s.why == r.why);
+    }
+}
--- /dev/null
+++ b/pollenreel/shift/spender.hpp
@@ -0,0 +1,101 @@
+// Spends a traffic thread's allowances: says for each attempt to which region
+// it may go now, and accounts for it until it is over. One thread only.
+//
+//   shift::spender s;
+//   s.set(allowances);
+//   auto d = s.decide({service, id, 400, own, true, {}}, now);
+//   if (auto* g = std::get_if<shift::go>(&d)) s.started(attempt, *g, now);
+//   s.finished(attempt, answer_bytes, now);
+#pragma once
+
+#include "pollenreel/shift/allowances.hpp"
+#include "pollenreel/shift/pacer.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <optional>
+#include <variant>
+
+namespace pollenreel::shift {
+
+struct candidate {
+    base::service_id service;
+    base::request_id request;
+    std::uint64_t request_bytes = 0;
+    base::region_id own;
+    bool own_takes_work = true;
+    // Regions whose targets of the service take new work, nearest first.
+    std::vector<base::region_id> others;
+    // 0 is shed last. Lower priorities are given less of the spill.
+    std::uint32_t priority = 0;
+};
+
+// To a region's targets.
+struct go {
+    base::service_id service;
+    base::region_id to;
+    std::optional<base::shift_id> shift;
+    bool crosses = false; // leaves the own region
+    shift::cost cost;
+
+    friend bool operator==(const go&, const go&) = default;
+};
+enum class refused_for { cap, limit, headroom, no_region };
+using decision = std::variant<go, refused_for>;
+
+// What was done for one place since the last report.
+struct place_report {
+    std::uint64_t started = 0;
+    std::uint64_t bytes = 0;
+    std::uint64_t held_back = 0; // stayed or was refused for the cap
+    std::uint32_t in_flight = 0; // now
+
+    friend bool operator==(const place_report&, const place_report&) = default;
+};
+using traffic_report = std::map<place, place_report>;
+
+class spender {
+public:
+    spender();
+
+    void set(allowances_ptr a);
+
+    [[nodiscard]] decision decide(const candidate& c, base::time_point now);
+    void started(base::attempt_id attempt, const go& g, base::time_point now);
+    // `answer_bytes` is empty when no whole answer came.
+    void finished(base::attempt_id attempt,
+                  std::optional<std::uint64_t> answer_bytes,
+                  base::time_point now);
+
+    // Counts since the previous call.
+    [[nodiscard]] traffic_report take_report();
+
+private:
+    struct running {
+        go to;
+        base::time_point since;
+    };
+
+    [[nodiscard]] const moved_part* move_of(const candidate& c) const;
+    [[nodiscard]] bool may_cross(const go& g, base::time_point now);
+    [[nodiscard]] bool within_limit(const place& p, base::time_point now);
+    [[nodiscard]] decision spill(const candidate& c, const cost& k,
+                                 base::time_point now);
+    [[nodiscard]] std::uint64_t
+    expected_answer(const base::service_id& s) const;
+    void learn_answer(const base::service_id& s, std::uint64_t bytes);
+
+    allowances_ptr m_allowances;
+    std::map<base::shift_id, pacer> m_shift_pacers;
+    std::map<base::region_id, pacer> m_way_pacers;
+    std::map<place, sliding_sum> m_limit_sums;
+    std::map<base::service_id, double> m_answer_bytes; // moving average
+    boost::unordered_flat_map<base::attempt_id, running> m_running;
+    traffic_report m_report;
+};
+
+// Whether `id` is among the `fraction` of requests that a shift moves. The
+// same for every attempt of a request, and a greater fraction only adds.
+[[nodiscard]] bool moves(base::request_id id, share::parts fraction);
+
+} // namespace pollenreel::shift
