--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -2,6 +2,7 @@
 // deterministic ones, and prints one JSON object a line. Exit 1 when a value
 // breaks its bound.
 #include "pollenreel/measure/result.hpp"
+#include "pollenreel/node/node_benchmark.hpp"
 
 #include <fmt/format.h>
 
@@ -23,7 +24,12 @@
 };
 
 std::span<const entry> entries() {
-    static const std::vector<entry> all = {};
+    static const std::vector<entry> all = {
+        {"lookup", false, "look-ups on one traffic thread",
+         node::measure_lookup},
+        {"path_cost", false, "what the system adds to a request",
+         node::measure_path_cost},
+    };
     return all;
 }
 
--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -108,12 +108,7 @@
         }
         // Anything readable now is a close or an answer that nobody asked for.
         beast::error_code e;
-        const auto waiting = m_stream.socket().available(e);
-        if (e || waiting != 0) {
-            return false;
-        }
         char probe = 0;
-        m_stream.socket().non_blocking(true, e);
         m_stream.socket().receive(asio::buffer(&probe, 1),
                                   tcp::socket::message_peek, e);
         return e == asio::error::would_block;
@@ -139,6 +134,7 @@
         }
         beast::error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        m_stream.socket().non_blocking(true, ignored);
         m_reusable = true;
         done(boost::outcome_v2::success());
     }
--- a/pollenreel/http/server.cpp
+++ b/pollenreel/http/server.cpp
@@ -102,6 +102,7 @@
             m_caller = remote.address().to_v4().to_uint();
         }
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        m_stream.socket().non_blocking(true, ignored);
         m_owner.sessions.insert(this);
     }
     session(const session&) = delete;
@@ -204,7 +205,6 @@
     bool closed_by_caller() {
         char next = 0;
         beast::error_code e;
-        m_stream.socket().non_blocking(true, e);
         const auto got = m_stream.socket().receive(
             asio::buffer(&next, 1), tcp::socket::message_peek, e);
         return got == 0 && e != asio::error::would_block;
--- a/pollenreel/measure/result.cpp
+++ b/pollenreel/measure/result.cpp
@@ -1,14 +1,23 @@
 #include "pollenreel/measure/result.hpp"
 
-#include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <fmt/format.h>
 
 namespace pollenreel::measure {
 
 namespace {
 
-boost::json::value or_null(const std::optional<double>& v) {
-    return v ? boost::json::value(*v) : boost::json::value(nullptr);
+std::string number(double v) {
+    return fmt::format("{:.6g}", v);
+}
+
+std::string or_null(const std::optional<double>& v) {
+    return v ? number(*v) : "null";
+}
+
+std::string quoted(const std::string& text) {
+    return boost::json::serialize(boost::json::value(text));
 }
 
 } // namespace
@@ -21,16 +30,13 @@
                                              : r.value >= *r.bound;
 }
 
+// Boost.JSON writes every double in scientific form; people read these lines.
 std::string to_json_line(const result& r) {
-    return boost::json::serialize(
-        boost::json::object{{"measure", r.measure},
-                            {"workload", r.workload},
-                            {"value", r.value},
-                            {"unit", r.unit},
-                            {"bound", or_null(r.bound)},
-                            {"baseline", or_null(r.baseline)},
-                            {"seed", r.seed},
-                            {"ok", ok(r)}});
+    return fmt::format(R"({{"measure":{},"workload":{},"value":{},"unit":{},)"
+                       R"("bound":{},"baseline":{},"seed":{},"ok":{}}})",
+                       quoted(r.measure), quoted(r.workload), number(r.value),
+                       quoted(r.unit), or_null(r.bound), or_null(r.baseline),
+                       r.seed, ok(r));
 }
 
 } // namespace pollenreel::measure
--- a/pollenreel/measure/result_test.cpp
+++ b/pollenreel/measure/result_test.cpp
@@ -25,3 +25,17 @@
         CHECK(measure::ok(m) == r.expected);
     }
 }
+
+TEST_CASE("a result is one JSON object on one line") {
+    measure::result r;
+    r.measure = "tail";
+    r.workload = "a \"quoted\" one";
+    r.value = 1.25;
+    r.unit = "x clean";
+    r.bound = 1.5;
+    r.seed = 3;
+    CHECK(
+        measure::to_json_line(r) ==
+        R"({"measure":"tail","workload":"a \"quoted\" one","value":1.25,)"
+        R"("unit":"x clean","bound":1.5,"baseline":null,"seed":3,"ok":true})");
+}
--- a/pollenreel/node/traffic_thread.cpp
+++ b/pollenreel/node/traffic_thread.cpp
@@ -17,6 +17,9 @@
 #include <optional>
 #include <thread>
 
+#include <pthread.h>
+#include <time.h>
+
 namespace pollenreel::node {
 
 namespace {
@@ -80,6 +83,17 @@
         }
     }
 
+    [[nodiscard]] std::chrono::nanoseconds processor_time() {
+        clockid_t id{};
+        timespec used{};
+        if (::pthread_getcpuclockid(m_thread.native_handle(), &id) != 0 ||
+            ::clock_gettime(id, &used) != 0) {
+            return std::chrono::nanoseconds(0);
+        }
+        return std::chrono::seconds(used.tv_sec) +
+               std::chrono::nanoseconds(used.tv_nsec);
+    }
+
     traffic_counters counters() const {
         const std::lock_guard guard(m_counters_mutex);
         return m_counters;
@@ -188,8 +202,10 @@
     }
 
     void arm_wakeup() {
+        // A timer that is due too early is left: it costs one empty tick, where
+        // moving it would cost a system call with each request.
         const auto next = m_core.next_wakeup();
-        if (!next || next == m_armed) {
+        if (!next || (m_armed && *m_armed <= *next)) {
             return;
         }
         m_armed = next;
@@ -264,6 +280,10 @@
     return m_loop->counters();
 }
 
+std::chrono::nanoseconds traffic_thread::processor_time() const {
+    return m_loop->processor_time();
+}
+
 void traffic_thread::join() {
     m_loop->join();
 }
--- a/pollenreel/node/traffic_thread.hpp
+++ b/pollenreel/node/traffic_thread.hpp
@@ -8,6 +8,7 @@
 #include "pollenreel/request/core.hpp"
 #include "pollenreel/settings/settings.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -47,6 +48,8 @@
     [[nodiscard]] traffic_counters counters() const;
 
     void join();
+    // Processor time that the thread has used; from any thread while it runs.
+    [[nodiscard]] std::chrono::nanoseconds processor_time() const;
 
 private:
     class loop;
--- a/testing/process_test.cpp
+++ b/testing/process_test.cpp
@@ -109,6 +109,7 @@
     REQUIRE(f.start());
     std::vector<unsigned> statuses(4);
     std::vector<std::thread> callers;
+    callers.reserve(statuses.size());
     for (auto& status : statuses) {
         callers.emplace_back([&status, &f] {
             const auto answer = http::call_and_wait(
