Choose targets by own latency and age of outstanding work

Cause: power of two choices on own in-flight work alone keeps sending to a slowed target until its own attempts pile up there.

Change: a per-thread target book (EWMA of latency over the usual, age of the oldest attempt, probing of hot targets) and four policies behind one variant: cold first, least in-flight, two choices, round robin.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -2,6 +2,7 @@
 // deterministic ones, and prints one JSON object a line. Exit 1 when a value
 // breaks its bound.
 #include "pollenreel/measure/result.hpp"
+#include "pollenreel/request/benchmarks.hpp"
 
 #include <fmt/format.h>
 
@@ -23,7 +24,10 @@
 };
 
 std::span<const entry> entries() {
-    static const std::vector<entry> all = {};
+    static const std::vector<entry> all = {
+        {"tail", true, "look-up latency while some targets are slowed",
+         request::measure_tail},
+    };
     return all;
 }
 
--- a/pollenreel/node/traffic_thread.cpp
+++ b/pollenreel/node/traffic_thread.cpp
@@ -44,7 +44,8 @@
 public:
     loop(traffic_options options, const base::clock& clock, log::logger log)
         : m_options(std::move(options)), m_clock(clock), m_log(std::move(log)),
-          m_core(m_options.seed), m_wakeup(m_io), m_housekeeping(m_io),
+          m_core({.seed = m_options.seed}), m_wakeup(m_io),
+          m_housekeeping(m_io),
           m_server(m_io, server_options(m_options.settings),
                    [this](http::request r, http::responder answer) {
                        on_request(std::move(r), std::move(answer));
--- a/pollenreel/request/choose_target.cpp
+++ b/pollenreel/request/choose_target.cpp
@@ -1,6 +1,9 @@
 #include "pollenreel/request/choose_target.hpp"
 
+#include "pollenreel/base/overloaded.hpp"
+
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 namespace pollenreel::request {
@@ -9,6 +12,10 @@
 
 using candidates = std::vector<const routing::target*>;
 
+// Below this share of cold targets the hot ones are used too: work crowded on
+// the few that are left would slow those.
+constexpr double least_cold_share = 0.5;
+
 // Keeps the candidates that `near` accepts, or all when it accepts none.
 template <class Near>
 candidates prefer(const candidates& from, Near near) {
@@ -31,18 +38,76 @@
     return kept;
 }
 
-std::uint32_t count_of(const in_flight_counts& counts,
-                       const base::target_id& id) {
-    const auto found = counts.find(id);
-    return found == counts.end() ? 0 : found->second;
+// What one choice is made from.
+struct question {
+    const classified& request;
+    const target_book& book;
+    base::time_point now;
+    base::random& random;
+};
+
+const routing::target* least_used(const candidates& among,
+                                  const target_book& book) {
+    return *std::min_element(
+        among.begin(), among.end(), [&](const auto* a, const auto* b) {
+            return std::tuple(book.in_flight(a->id), book.last_used(a->id)) <
+                   std::tuple(book.in_flight(b->id), book.last_used(b->id));
+        });
+}
+
+const routing::target* pick(const round_robin&, const candidates& among,
+                            const question& q) {
+    return *std::min_element(
+        among.begin(), among.end(), [&](const auto* a, const auto* b) {
+            return q.book.last_used(a->id) < q.book.last_used(b->id);
+        });
+}
+
+const routing::target* pick(const two_choices&, const candidates& among,
+                            const question& q) {
+    const auto* first = among[q.random.below(among.size())];
+    const auto* second = among[q.random.below(among.size())];
+    const bool second_is_freer =
+        q.book.in_flight(second->id) < q.book.in_flight(first->id);
+    return second_is_freer ? second : first;
+}
+
+const routing::target* pick(const least_in_flight&, const candidates& among,
+                            const question& q) {
+    return least_used(among, q.book);
+}
+
+const routing::target* pick(const cold_first&, const candidates& among,
+                            const question& q) {
+    candidates cold;
+    for (const auto* t : among) {
+        if (q.request.kind.idempotent && q.book.wants_probe(t->id, q.now)) {
+            return t;
+        }
+        if (!q.book.hot(t->id, q.now)) {
+            cold.push_back(t);
+        }
+    }
+    const auto enough = least_cold_share * static_cast<double>(among.size());
+    if (static_cast<double>(cold.size()) >= enough) {
+        return least_used(cold, q.book);
+    }
+    auto ranked = among;
+    std::sort(ranked.begin(), ranked.end(), [&](const auto* a, const auto* b) {
+        return q.book.slowness(a->id, q.now) < q.book.slowness(b->id, q.now);
+    });
+    ranked.resize((ranked.size() + 1) / 2);
+    return least_used(ranked, q.book);
 }
 
 } // namespace
 
-filtered<choice>
-choose_target(const classified& c, const base::region_id& region,
-              const routing::snapshot& s, const in_flight_counts& in_flight,
-              std::span<const base::target_id> tried, base::random& random) {
+filtered<choice> choose_target(const classified& c,
+                               const base::region_id& region,
+                               const routing::snapshot& s,
+                               const target_policy& policy, target_book& book,
+                               std::span<const base::target_id> tried,
+                               base::time_point now, base::random& random) {
     const auto service = s.services.find(c.service);
     if (service == s.services.end()) {
         return refusal{outcome::not_run, reason::no_target};
@@ -52,11 +117,9 @@
         return refusal{outcome::not_run, reason::no_target};
     }
     among = prefer(among, [&](const auto& t) { return t.region == region; });
-    const auto* first = among[random.below(among.size())];
-    const auto* second = among[random.below(among.size())];
-    const bool second_is_freer =
-        count_of(in_flight, second->id) < count_of(in_flight, first->id);
-    const auto* chosen = second_is_freer ? second : first;
+    const question q{c, book, now, random};
+    const auto* chosen = std::visit(
+        [&](const auto& one) { return pick(one, among, q); }, policy);
     return choice{chosen->id, chosen->address};
 }
 
--- a/pollenreel/request/choose_target.hpp
+++ b/pollenreel/request/choose_target.hpp
@@ -3,26 +3,37 @@
 #pragma once
 
 #include "pollenreel/base/random.hpp"
+#include "pollenreel/request/target_book.hpp"
 #include "pollenreel/request/types.hpp"
 
-#include <boost/unordered/unordered_flat_map.hpp>
-
 #include <cstdint>
 #include <span>
+#include <variant>
 
 namespace pollenreel::request {
 
-// Attempts of this traffic thread that are under way at each target.
-using in_flight_counts =
-    boost::unordered_flat_map<base::target_id, std::uint32_t>;
+// Each in turn. Blind to load; the baseline of the measures.
+struct round_robin {};
+// Power of two choices (Mitzenmacher, 2001) on own in-flight attempts.
+struct two_choices {};
+// The target with the fewest own in-flight attempts, the longest unused first.
+struct least_in_flight {};
+// Least in-flight among the cold targets, after Prequal's hot-cold rule
+// (Wydrowski et al., NSDI 2024). Hot is told without probes or reports, from
+// own answers and from the age of the oldest attempt under way, so that the
+// targets are not burdened and a late report cannot draw all entries to one.
+struct cold_first {};
+
+using target_policy =
+    std::variant<cold_first, least_in_flight, two_choices, round_robin>;
 
-// Power of two choices (Mitzenmacher, 2001) on this thread's own in-flight
-// attempts, among the service's targets in `region` that take new work.
-// `tried` are left out; when none is left there, another region's targets are
-// taken. Refuses with not_run: no_target.
+// Chooses among the service's targets in `region` that take new work. `tried`
+// are left out; when none is left there, another region's targets are taken.
+// Refuses with not_run: no_target.
 [[nodiscard]] filtered<choice>
 choose_target(const classified& c, const base::region_id& region,
-              const routing::snapshot& s, const in_flight_counts& in_flight,
-              std::span<const base::target_id> tried, base::random& random);
+              const routing::snapshot& s, const target_policy& policy,
+              target_book& book, std::span<const base::target_id> tried,
+              base::time_point now, base::random& random);
 
 } // namespace pollenreel::request
--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -14,8 +14,9 @@
 
 } // namespace
 
-core::core(std::uint64_t seed)
-    : m_snapshot(std::make_shared<routing::snapshot>()), m_random(seed) {}
+core::core(options o)
+    : m_options(o), m_snapshot(std::make_shared<routing::snapshot>()),
+      m_random(o.seed) {}
 
 effects core::handle(const event& e, base::time_point now) {
     effects out;
@@ -64,8 +65,9 @@
     if (const auto* r = std::get_if<refusal>(&region)) {
         return refuse(p.request.id, *r, out);
     }
-    auto chosen = choose_target(p.request, std::get<base::region_id>(region),
-                                *m_snapshot, m_in_flight, p.tried, m_random);
+    auto chosen =
+        choose_target(p.request, std::get<base::region_id>(region), *m_snapshot,
+                      m_options.choose, m_book, p.tried, now, m_random);
     if (const auto* r = std::get_if<refusal>(&chosen)) {
         return refuse(p.request.id, *r, out);
     }
@@ -73,8 +75,9 @@
     m_last_attempt = m_last_attempt.next();
     p.current = m_last_attempt;
     p.tried.push_back(to.target);
-    m_open[p.current] = open{{}, p.request.id, to.target};
-    ++m_in_flight[to.target];
+    m_open[p.current] = open{{}, p.request.id, now};
+    const auto usual = m_usual[p.request.kind.id].quantile(0.5);
+    m_book.started(p.current, to.target, usual.value_or(base::duration{}), now);
     ++m_counters.attempts;
     out.emplace_back(
         open_attempt{p.current, p.request.id, to, p.request.deadline});
@@ -138,6 +141,8 @@
     case attempt::step::forward: {
         const auto request = a.request;
         ++m_counters.forwarded;
+        m_usual[m_pending.at(request).request.kind.id].add(now - a.since);
+        m_book.answered(id, now);
         out.emplace_back(forward_answer{request, id});
         forget_attempt(id);
         forget_request(request);
@@ -145,6 +150,11 @@
     }
     case attempt::step::fail: {
         auto failed = a;
+        if (a.machine.failure().reason == reason::target_shed) {
+            m_book.shed(id, now);
+        } else {
+            m_book.failed(id, now);
+        }
         forget_attempt(id);
         return after_failure(failed, now, out);
     }
@@ -162,7 +172,7 @@
     start_attempt(p, now, out);
 }
 
-void core::cancel(base::request_id id, reason why, base::time_point,
+void core::cancel(base::request_id id, reason why, base::time_point now,
                   effects& out) {
     const auto p = m_pending.find(id);
     if (p == m_pending.end()) {
@@ -172,6 +182,7 @@
     auto& machine = m_open.at(attempt).machine;
     machine.on_cancel(why);
     const auto failure = machine.failure();
+    m_book.abandoned(attempt, now);
     out.emplace_back(abandon_attempt{attempt});
     forget_attempt(attempt);
     refuse(id, failure, out);
@@ -185,9 +196,7 @@
 }
 
 void core::forget_attempt(base::attempt_id id) {
-    const auto found = m_open.find(id);
-    --m_in_flight[found->second.target];
-    m_open.erase(found);
+    m_open.erase(id);
 }
 
 void core::forget_request(base::request_id id) {
--- a/pollenreel/request/core.hpp
+++ b/pollenreel/request/core.hpp
@@ -3,7 +3,7 @@
 // to carry out in order. Knows no sockets, threads or clocks; the daemon's
 // traffic thread is one driver, tests and benchmarks are others.
 //
-//   request::core c(seed);
+//   request::core c({.seed = seed});
 //   for (auto& e : c.handle(request::snapshot_changed{s}, now)) run(e);
 //
 // Order: a driver passes events one at a time and carries out the effects of
@@ -14,6 +14,8 @@
 #include "pollenreel/base/random.hpp"
 #include "pollenreel/request/attempt.hpp"
 #include "pollenreel/request/choose_target.hpp"
+#include "pollenreel/request/latency_histogram.hpp"
+#include "pollenreel/request/target_book.hpp"
 #include "pollenreel/request/types.hpp"
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -88,9 +90,14 @@
     std::uint64_t attempts = 0;
 };
 
+struct options {
+    std::uint64_t seed = 0;
+    target_policy choose = cold_first{};
+};
+
 class core {
 public:
-    explicit core(std::uint64_t seed);
+    explicit core(options o);
 
     [[nodiscard]] effects handle(const event& e, base::time_point now);
 
@@ -108,7 +115,7 @@
     struct open {
         request::attempt machine;
         base::request_id request;
-        base::target_id target;
+        base::time_point since;
     };
 
     void on(const snapshot_changed& e, base::time_point now, effects& out);
@@ -132,6 +139,7 @@
     void forget_attempt(base::attempt_id id);
     void forget_request(base::request_id id);
 
+    options m_options;
     routing::snapshot_ptr m_snapshot;
     base::random m_random;
     base::attempt_id m_last_attempt;
@@ -140,7 +148,8 @@
     boost::unordered_flat_map<base::request_id, pending> m_pending;
     boost::unordered_flat_map<base::attempt_id, open> m_open;
     std::multimap<base::time_point, base::request_id> m_deadlines;
-    in_flight_counts m_in_flight;
+    target_book m_book;
+    boost::unordered_flat_map<base::kind_id, latency_histogram> m_usual;
 };
 
 } // namespace pollenreel::request
--- a/pollenreel/request/core_test.cpp
+++ b/pollenreel/request/core_test.cpp
@@ -28,7 +28,7 @@
 }
 
 request::core ready_core() {
-    request::core c(1);
+    request::core c({.seed = 1});
     (void)c.handle(request::snapshot_changed{two_targets()}, start);
     return c;
 }
--- /dev/null
+++ b/pollenreel/request/target_book.hpp
@@ -0,0 +1,73 @@
+// What one traffic thread knows of each target from its own attempts: how
+// many are under way, how slow the answers are against what is usual for the
+// kind of work, and how long the oldest unanswered attempt has waited.
+// Reports of targets play no part.
+//
+//   book.started(attempt, target, usual, now);
+//   book.answered(attempt, now);
+//   if (book.hot(target, now)) { ... }
+#pragma once
+
+#include "pollenreel/base/clock.hpp"
+#include "pollenreel/base/ids.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace pollenreel::request {
+
+class target_book {
+public:
+    // `usual` is the median latency of the kind; zero when it is not known.
+    void started(base::attempt_id attempt, const base::target_id& target,
+                 base::duration usual, base::time_point now);
+    // A whole answer came.
+    void answered(base::attempt_id attempt, base::time_point now);
+    // Given up with no answer; its age so far counts if it is long.
+    void abandoned(base::attempt_id attempt, base::time_point now);
+    // The connection could not be had or broke.
+    void failed(base::attempt_id attempt, base::time_point now);
+    // The target refused the attempt for want of room.
+    void shed(base::attempt_id attempt, base::time_point now);
+
+    [[nodiscard]] std::uint32_t in_flight(const base::target_id& t) const;
+    // Grows by one with each attempt of this thread.
+    [[nodiscard]] std::uint64_t last_used(const base::target_id& t) const;
+    // Whether new work should go elsewhere.
+    [[nodiscard]] bool hot(const base::target_id& t,
+                           base::time_point now) const;
+    // Hot by its answers, and due for one attempt that finds out whether it
+    // still is.
+    [[nodiscard]] bool wants_probe(const base::target_id& t,
+                                   base::time_point now) const;
+    // Mean latency as a multiple of the usual; for choosing among hot ones.
+    [[nodiscard]] double slowness(const base::target_id& t,
+                                  base::time_point now) const;
+
+private:
+    struct under_way {
+        base::attempt_id id;
+        base::duration usual{};
+        base::time_point since;
+    };
+    struct entry {
+        std::vector<under_way> attempts; // oldest first
+        double mean_ratio = 1;           // EWMA of latency / usual
+        std::uint64_t last_used = 0;
+        base::duration retry_after{};
+        base::time_point probe_at; // when hot
+        base::time_point full_until;
+    };
+
+    under_way take(base::attempt_id attempt, entry*& of);
+    static void add_sample(entry& e, double ratio, base::time_point now);
+    [[nodiscard]] const entry* find(const base::target_id& t) const;
+
+    boost::unordered_flat_map<base::target_id, entry> m_entries;
+    boost::unordered_flat_map<base::attempt_id, base::target_id> m_target_of;
+    std::uint64_t m_uses = 0;
+};
+
+} // namespace pollenreel::request
