Hedge idempotent requests and hold retries to a budget

Cause: what went to a target before it was seen to be slow waited for it, which is what p99.9 is made of; and each failed attempt was repeated without a limit on how much a failing fleet is asked.

Change: a pending request may have several open attempts. An idempotent one gets a second attempt after the declared percentile of this thread's own recent latencies, within a budget earned by traffic; the loser is abandoned. Retries are held to a budget of their own. A request of which any attempt may have run is never refused as not-run. The declarations gain the keys for it, all optional.

--- a/pollenreel/declarations/codec.cpp
+++ b/pollenreel/declarations/codec.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint64_t most_connections = 1'000'000;
 constexpr std::uint64_t longest_deadline_ms = 24ULL * 3600 * 1000;
 constexpr std::uint64_t lowest_priority = 9;
+constexpr std::uint64_t most_waiting = 100'000;
+constexpr std::uint64_t longest_slow_start_ms = 600'000;
 
 // Names seen so far; tells when one is declared twice or never was.
 template <class Id>
@@ -85,8 +87,18 @@
     return read;
 }
 
+// Reads an optional number; absent, `into` keeps its default.
+void read_number(const json_reader& r, std::string_view key,
+                 std::uint64_t least, std::uint64_t most, std::uint32_t& into) {
+    if (r.has(key)) {
+        into = static_cast<std::uint32_t>(r.at(key).number(least, most));
+    }
+}
+
 kind read_kind(const json_reader& r, name_set<base::kind_id>& kinds) {
-    r.allow_keys({"id", "methods", "idempotent", "deadline_ms", "priority"});
+    r.allow_keys({"id", "methods", "idempotent", "deadline_ms", "priority",
+                  "long_running", "hedge_percentile", "hedge_budget_percent",
+                  "retry_budget_percent"});
     kind read;
     read.id = kinds.declare(r.at("id"));
     r.at("methods").each(
@@ -96,6 +108,12 @@
         r.at("deadline_ms").number(1, longest_deadline_ms));
     read.priority =
         static_cast<std::uint32_t>(r.at("priority").number(0, lowest_priority));
+    if (r.has("long_running")) {
+        read.long_running = r.at("long_running").boolean();
+    }
+    read_number(r, "hedge_percentile", 0, 99, read.hedge_percentile);
+    read_number(r, "hedge_budget_percent", 0, 100, read.hedge_budget_percent);
+    read_number(r, "retry_budget_percent", 0, 100, read.retry_budget_percent);
     return read;
 }
 
@@ -115,7 +133,9 @@
 }
 
 service read_service(const json_reader& r, declared_names& names) {
-    r.allow_keys({"id", "max_connections_per_target", "kinds", "targets"});
+    r.allow_keys({"id", "max_connections_per_target", "kinds", "targets",
+                  "long_running_percent", "queue_limit", "in_flight_percent",
+                  "slow_start_ms"});
     service read;
     read.id = names.services.declare(r.at("id"));
     read.max_connections_per_target = static_cast<std::uint32_t>(
@@ -130,6 +150,13 @@
     r.at("targets").each([&](const json_reader& t) {
         read.targets.push_back(read_target(t, names));
     });
+    read_number(r, "long_running_percent", 1, 100, read.long_running_percent);
+    read_number(r, "queue_limit", 0, most_waiting, read.queue_limit);
+    read_number(r, "in_flight_percent", 100, 10'000, read.in_flight_percent);
+    if (r.has("slow_start_ms")) {
+        read.slow_start = std::chrono::milliseconds(
+            r.at("slow_start_ms").number(0, longest_slow_start_ms));
+    }
     return read;
 }
 
@@ -172,7 +199,11 @@
             {"methods", methods},
             {"idempotent", k.idempotent},
             {"deadline_ms", k.deadline.count()},
-            {"priority", k.priority}};
+            {"priority", k.priority},
+            {"long_running", k.long_running},
+            {"hedge_percentile", k.hedge_percentile},
+            {"hedge_budget_percent", k.hedge_budget_percent},
+            {"retry_budget_percent", k.retry_budget_percent}};
 }
 
 json::object to_json(const target& t) {
@@ -194,7 +225,11 @@
     return {{"id", s.id.str()},
             {"max_connections_per_target", s.max_connections_per_target},
             {"kinds", kinds},
-            {"targets", targets}};
+            {"targets", targets},
+            {"long_running_percent", s.long_running_percent},
+            {"queue_limit", s.queue_limit},
+            {"in_flight_percent", s.in_flight_percent},
+            {"slow_start_ms", s.slow_start.count()}};
 }
 
 } // namespace
--- a/pollenreel/declarations/codec_test.cpp
+++ b/pollenreel/declarations/codec_test.cpp
@@ -20,7 +20,11 @@
   "client_blocks": [{"block": "127.0.0.0/8", "failure_domain": "khomas-a"}],
   "services": [{"id": "catalogue", "max_connections_per_target": 400,
     "kinds": [{"id": "browse", "methods": ["GET"], "idempotent": true,
-               "deadline_ms": 500, "priority": 1}],
+               "deadline_ms": 500, "priority": 1, "long_running": true,
+               "hedge_percentile": 90, "hedge_budget_percent": 4,
+               "retry_budget_percent": 8}],
+    "long_running_percent": 40, "queue_limit": 10, "in_flight_percent": 200,
+    "slow_start_ms": 5000,
     "targets": [{"id": "cat-1", "failure_domain": "khomas-a",
                  "address": "127.0.0.1:9000", "slots": 6}]}]
 })";
@@ -56,6 +60,10 @@
          replaced(good, "\"cat-1\", \"failure_domain\": \"khomas-a\"",
                   "\"cat-1\", \"failure_domain\": \"oshana-a\""),
          error::unknown_reference, "oshana-a"},
+        {"a percentile that no request can pass",
+         replaced(good, "\"hedge_percentile\": 90",
+                  "\"hedge_percentile\": 100"),
+         error::out_of_range, "/services/0/kinds/0/hedge_percentile"},
         {"a block that is not CIDR", replaced(good, "127.0.0.0/8", "here"),
          error::out_of_range, "/client_blocks/0/block"},
     };
@@ -68,6 +76,25 @@
     }
 }
 
+TEST_CASE("the keys of the request path are read, and may be left out") {
+    auto d = declarations::parse_document(good).value();
+    const auto& service = d.services.at(0);
+    CHECK(service.long_running_percent == 40);
+    CHECK(service.queue_limit == 10);
+    CHECK(service.in_flight_percent == 200);
+    CHECK(service.slow_start == std::chrono::milliseconds(5000));
+    const auto& kind = service.kinds.at(0);
+    CHECK(kind.long_running);
+    CHECK(kind.hedge_percentile == 90);
+    CHECK(kind.hedge_budget_percent == 4);
+    CHECK(kind.retry_budget_percent == 8);
+
+    const auto older = declarations::parse_document(
+        replaced(good, ", \"long_running\": true", ""));
+    REQUIRE(older.has_value());
+    CHECK(!older.value().services.at(0).kinds.at(0).long_running);
+}
+
 TEST_CASE("a configuration survives encoding") {
     declarations::configuration c;
     c.version = base::config_version(7);
--- a/pollenreel/declarations/document.hpp
+++ b/pollenreel/declarations/document.hpp
@@ -44,6 +44,19 @@
     bool idempotent = false;
     std::chrono::milliseconds deadline{};
     std::uint32_t priority = 0; // 0 is shed last
+    // Much longer than other work of the service; kept apart from it.
+    bool long_running = false;
+    // An idempotent request is sent a second time once it takes longer than
+    // this percentile of recent ones; 0: never. Lower cuts the tail more and
+    // costs targets more.
+    std::uint32_t hedge_percentile = 95;
+    // Most second attempts, as a share of requests. Higher helps when many
+    // targets are slow and adds as much load at the worst moment.
+    std::uint32_t hedge_budget_percent = 5;
+    // Most attempts after a failed one, as a share of requests. Higher loses
+    // fewer requests to scattered failures and lets a failing fleet be asked
+    // more.
+    std::uint32_t retry_budget_percent = 10;
 
     friend bool operator==(const kind&, const kind&) = default;
 };
@@ -62,6 +75,21 @@
     std::uint32_t max_connections_per_target = 0; // over the whole fleet
     std::vector<kind> kinds;
     std::vector<target> targets;
+    // Share of the targets that long-running work is kept to while others
+    // need theirs. Higher finishes long work sooner; lower leaves short work
+    // more room.
+    std::uint32_t long_running_percent = 50;
+    // Requests that one instance lets wait for a slot. Higher rides out longer
+    // bursts; lower refuses sooner, while the caller can still go elsewhere.
+    std::uint32_t queue_limit = 200;
+    // Attempts that the whole fleet has under way, as a share of the slots.
+    // Higher keeps slots busier under uneven load, with more waiting at
+    // targets, where priority does not count.
+    std::uint32_t in_flight_percent = 300;
+    // A target that is new or has returned is given work little by little
+    // over this time; 0: at once. Longer spares cold caches and leaves the
+    // other targets with more.
+    std::chrono::milliseconds slow_start{10000};
 
     friend bool operator==(const service&, const service&) = default;
 };
--- a/pollenreel/request/benchmarks.hpp
+++ b/pollenreel/request/benchmarks.hpp
@@ -4,8 +4,11 @@
 #include "pollenreel/measure/result.hpp"
 
 #include <cstdint>
+#include <functional>
+#include <future>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace pollenreel::request {
 
@@ -36,6 +39,22 @@
     return r;
 }
 
+// Runs `one` for seeds 1 to 5, each on its own thread; results in that order.
+inline measure::results
+for_each_seed(const std::function<measure::results(std::uint64_t seed)>& one) {
+    constexpr std::uint64_t seeds = 5;
+    std::vector<std::future<measure::results>> runs;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        runs.push_back(std::async(std::launch::async, one, seed));
+    }
+    measure::results all;
+    for (auto& r : runs) {
+        const auto results = r.get();
+        all.insert(all.end(), results.begin(), results.end());
+    }
+    return all;
+}
+
 // Look-up latency while some targets are slowed, against the same run without.
 [[nodiscard]] measure::results measure_tail();
 // Look-up latency beside long work, and the rate of the long work.
--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -25,10 +25,10 @@
 }
 
 std::optional<base::time_point> core::next_wakeup() const {
-    if (m_deadlines.empty()) {
+    if (m_timers.empty()) {
         return std::nullopt;
     }
-    return m_deadlines.begin()->first;
+    return std::get<base::time_point>(*m_timers.begin());
 }
 
 std::size_t core::requests_in_flight() const {
@@ -52,35 +52,70 @@
     }
     auto& p = m_pending[e.id];
     p.request = std::get<classified>(std::move(a));
-    m_deadlines.emplace(p.request.deadline, e.id);
-    start_attempt(p, now, out);
+    m_timers.emplace(p.request.deadline, e.id, timer::deadline);
+    auto& state = state_of(p.request);
+    state.hedges.earn(p.request.kind.hedge_budget_percent);
+    state.retries.earn(p.request.kind.retry_budget_percent);
+    if (const auto r = start_attempt(p, cause::first, now, out)) {
+        return refuse(e.id, *r, out);
+    }
+    arm_hedge(p, now);
+}
+
+core::kind_state& core::state_of(const classified& c) {
+    return m_kinds[{c.service, c.kind.id}];
 }
 
-void core::start_attempt(pending& p, base::time_point now, effects& out) {
+std::optional<refusal> core::start_attempt(pending& p, cause why,
+                                           base::time_point now, effects& out) {
     if (now >= p.request.deadline) {
-        return refuse(p.request.id,
-                      {outcome::not_run, reason::deadline_expired}, out);
+        return refusal{outcome::not_run, reason::deadline_expired};
     }
     const auto region = choose_region(p.request, *m_snapshot);
     if (const auto* r = std::get_if<refusal>(&region)) {
-        return refuse(p.request.id, *r, out);
+        return *r;
     }
     auto chosen =
         choose_target(p.request, std::get<base::region_id>(region), *m_snapshot,
                       m_options.choose, m_book, p.tried, now, m_random);
     if (const auto* r = std::get_if<refusal>(&chosen)) {
-        return refuse(p.request.id, *r, out);
+        return *r;
     }
     const auto& to = std::get<choice>(chosen);
     m_last_attempt = m_last_attempt.next();
-    p.current = m_last_attempt;
+    const auto id = m_last_attempt;
+    p.open.push_back(id);
     p.tried.push_back(to.target);
-    m_open[p.current] = open{{}, p.request.id, now};
-    const auto usual = m_usual[p.request.kind.id].quantile(0.5);
-    m_book.started(p.current, to.target, usual.value_or(base::duration{}), now);
+    m_open[id] = open{{}, p.request.id, now, why == cause::hedge};
+    const auto usual = state_of(p.request).latency.quantile(0.5);
+    m_book.started(id, to.target, usual.value_or(base::duration{}), now);
     ++m_counters.attempts;
-    out.emplace_back(
-        open_attempt{p.current, p.request.id, to, p.request.deadline});
+    m_counters.retries += why == cause::retry ? 1 : 0;
+    m_counters.hedges += why == cause::hedge ? 1 : 0;
+    out.emplace_back(open_attempt{id, p.request.id, to, p.request.deadline});
+    return std::nullopt;
+}
+
+void core::arm_hedge(pending& p, base::time_point now) {
+    const auto& kind = p.request.kind;
+    if (!kind.idempotent || kind.hedge_percentile == 0) {
+        return;
+    }
+    const auto delay =
+        state_of(p.request).latency.quantile(kind.hedge_percentile / 100.0);
+    if (delay && now + *delay < p.request.deadline) {
+        p.hedge_at = now + *delay;
+        m_timers.emplace(*p.hedge_at, p.request.id, timer::hedge);
+    }
+}
+
+void core::hedge(base::request_id id, base::time_point now, effects& out) {
+    auto& p = m_pending.at(id);
+    p.hedge_at.reset();
+    if (p.open.size() == 1 && state_of(p.request).hedges.spend()) {
+        // Without a target for it the first attempt goes on alone.
+        (void)start_attempt(p, cause::hedge, now, out);
+    }
 }
 
 void core::on(const attempt_connected& e, base::time_point now, effects& out) {
@@ -111,13 +146,21 @@
 }
 
 void core::on(const caller_gone& e, base::time_point now, effects& out) {
-    cancel(e.request, reason::connection_lost, now, out);
+    end(e.request, reason::connection_lost, now, out);
 }
 
 void core::on(const tick&, base::time_point now, effects& out) {
-    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        const auto id = m_deadlines.begin()->second;
-        cancel(id, reason::deadline_expired, now, out);
+    while (!m_timers.empty()) {
+        const auto [when, id, which] = *m_timers.begin();
+        if (when > now) {
+            return;
+        }
+        if (which == timer::deadline) {
+            end(id, reason::deadline_expired, now, out);
+            continue;
+        }
+        m_timers.erase(m_timers.begin());
+        hedge(id, now, out);
     }
 }
 
@@ -127,68 +170,99 @@
 
 void core::after_step(base::attempt_id id, attempt::step s,
                       base::time_point now, effects& out) {
-    auto& a = m_open.at(id);
     switch (s) {
     case attempt::step::nothing:
         return;
     case attempt::step::send: {
-        const auto left = m_pending.at(a.request).request.deadline - now;
+        const auto& p = m_pending.at(m_open.at(id).request);
         using std::chrono::milliseconds;
-        out.emplace_back(
-            send_attempt{id, std::chrono::duration_cast<milliseconds>(left)});
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(p.request.deadline - now);
+        out.emplace_back(send_attempt{id, left});
         return;
     }
-    case attempt::step::forward: {
-        const auto request = a.request;
-        ++m_counters.forwarded;
-        m_usual[m_pending.at(request).request.kind.id].add(now - a.since);
-        m_book.answered(id, now);
-        out.emplace_back(forward_answer{request, id});
-        forget_attempt(id);
-        forget_request(request);
-        return;
+    case attempt::step::forward:
+        return forward(id, now, out);
+    case attempt::step::fail:
+        return after_failure(id, now, out);
     }
-    case attempt::step::fail: {
-        auto failed = a;
-        if (a.machine.failure().reason == reason::target_shed) {
-            m_book.shed(id, now);
-        } else {
-            m_book.failed(id, now);
-        }
-        forget_attempt(id);
-        return after_failure(failed, now, out);
+}
+
+void core::forward(base::attempt_id id, base::time_point now, effects& out) {
+    const auto won = m_open.at(id);
+    auto& p = m_pending.at(won.request);
+    ++m_counters.forwarded;
+    m_counters.hedges_won += won.hedge ? 1 : 0;
+    if (!won.hedge) {
+        state_of(p.request).latency.add(now - won.since);
     }
+    m_book.answered(id, now);
+    out.emplace_back(forward_answer{won.request, id});
+    forget_attempt(id);
+    const auto losers = p.open;
+    for (const auto loser : losers) {
+        if (!m_open.at(loser).hedge) {
+            state_of(p.request).latency.add(now - m_open.at(loser).since);
+        }
+        abandon(loser, reason::deadline_expired, now, out);
     }
+    forget_request(won.request);
 }
 
-void core::after_failure(open& failed, base::time_point now, effects& out) {
+void core::after_failure(base::attempt_id id, base::time_point now,
+                         effects& out) {
+    const auto failed = m_open.at(id);
+    const auto how = failed.machine.failure();
+    if (how.reason == reason::target_shed) {
+        m_book.shed(id, now);
+    } else {
+        m_book.failed(id, now);
+    }
+    forget_attempt(id);
     auto& p = m_pending.at(failed.request);
-    const auto& how = failed.machine.failure();
-    const bool may_retry =
-        how.outcome == outcome::not_run || p.request.kind.idempotent;
-    if (!may_retry || p.tried.size() >= most_attempts) {
-        return refuse(failed.request, how, out);
+    p.may_have_run = p.may_have_run || how.outcome == outcome::unknown;
+    if (!p.open.empty()) {
+        return; // the other attempt decides
+    }
+    const bool may_retry = !p.may_have_run || p.request.kind.idempotent;
+    if (may_retry && p.tried.size() < most_attempts &&
+        state_of(p.request).retries.spend() &&
+        !start_attempt(p, cause::retry, now, out)) {
+        return;
     }
-    start_attempt(p, now, out);
+    refuse(failed.request, how, out);
 }
 
-void core::cancel(base::request_id id, reason why, base::time_point now,
-                  effects& out) {
+void core::end(base::request_id id, reason why, base::time_point now,
+               effects& out) {
     const auto p = m_pending.find(id);
     if (p == m_pending.end()) {
         return;
     }
-    const auto attempt = p->second.current;
-    auto& machine = m_open.at(attempt).machine;
-    machine.on_cancel(why);
-    const auto failure = machine.failure();
-    m_book.abandoned(attempt, now);
-    out.emplace_back(abandon_attempt{attempt});
-    forget_attempt(attempt);
-    refuse(id, failure, out);
+    const auto attempts = p->second.open;
+    for (const auto a : attempts) {
+        abandon(a, why, now, out);
+    }
+    refuse(id, {outcome::not_run, why}, out);
+}
+
+void core::abandon(base::attempt_id id, reason why, base::time_point now,
+                   effects& out) {
+    auto& a = m_open.at(id);
+    a.machine.on_cancel(why);
+    auto& p = m_pending.at(a.request);
+    p.may_have_run =
+        p.may_have_run || a.machine.failure().outcome == outcome::unknown;
+    m_book.abandoned(id, now);
+    out.emplace_back(abandon_attempt{id});
+    forget_attempt(id);
 }
 
 void core::refuse(base::request_id id, refusal r, effects& out) {
+    const auto p = m_pending.find(id);
+    if (p != m_pending.end() && p->second.may_have_run) {
+        r.outcome = outcome::unknown;
+    }
     ++(r.outcome == outcome::not_run ? m_counters.refused_not_run
                                      : m_counters.refused_unknown);
     out.emplace_back(refuse_request{id, r});
@@ -196,7 +270,9 @@
 }
 
 void core::forget_attempt(base::attempt_id id) {
-    m_open.erase(id);
+    const auto found = m_open.find(id);
+    std::erase(m_pending.at(found->second.request).open, id);
+    m_open.erase(found);
 }
 
 void core::forget_request(base::request_id id) {
@@ -204,13 +280,10 @@
     if (found == m_pending.end()) {
         return;
     }
-    const auto [first, last] =
-        m_deadlines.equal_range(found->second.request.deadline);
-    for (auto it = first; it != last; ++it) {
-        if (it->second == id) {
-            m_deadlines.erase(it);
-            break;
-        }
+    const auto& p = found->second;
+    m_timers.erase({p.request.deadline, id, timer::deadline});
+    if (p.hedge_at) {
+        m_timers.erase({*p.hedge_at, id, timer::hedge});
     }
     m_pending.erase(found);
 }
--- a/pollenreel/request/core.hpp
+++ b/pollenreel/request/core.hpp
@@ -13,6 +13,7 @@
 
 #include "pollenreel/base/random.hpp"
 #include "pollenreel/request/attempt.hpp"
+#include "pollenreel/request/budget.hpp"
 #include "pollenreel/request/choose_target.hpp"
 #include "pollenreel/request/latency_histogram.hpp"
 #include "pollenreel/request/target_book.hpp"
@@ -20,8 +21,12 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -88,6 +93,9 @@
     std::uint64_t refused_not_run = 0;
     std::uint64_t refused_unknown = 0;
     std::uint64_t attempts = 0;
+    std::uint64_t retries = 0;    // of the attempts
+    std::uint64_t hedges = 0;     // of the attempts
+    std::uint64_t hedges_won = 0; // answered before the first attempt
 };
 
 struct options {
@@ -107,16 +115,31 @@
     [[nodiscard]] const counters& counts() const { return m_counters; }
 
 private:
+    enum class timer { deadline, hedge };
+    enum class cause { first, retry, hedge };
     struct pending {
         classified request;
-        base::attempt_id current;
+        std::vector<base::attempt_id> open;
         std::vector<base::target_id> tried;
+        std::optional<base::time_point> hedge_at;
+        bool may_have_run = false; // by an attempt that is over
     };
     struct open {
         request::attempt machine;
         base::request_id request;
         base::time_point since;
+        bool hedge = false;
     };
+    // What is learnt of, and spent on, one kind of work of one service.
+    struct kind_state {
+        latency_histogram latency;
+        budget hedges{hedge_reserve};
+        budget retries{retry_reserve};
+    };
+    using kind_key = std::pair<base::service_id, base::kind_id>;
+    // Extra attempts that may be made at once after quiet times.
+    static constexpr std::uint32_t hedge_reserve = 10;
+    static constexpr std::uint32_t retry_reserve = 10;
 
     void on(const snapshot_changed& e, base::time_point now, effects& out);
     void on(const arrival& e, base::time_point now, effects& out);
@@ -129,12 +152,21 @@
     void on(const tick& e, base::time_point now, effects& out);
     void on(const stop_requested& e, base::time_point now, effects& out);
 
-    void start_attempt(pending& p, base::time_point now, effects& out);
+    kind_state& state_of(const classified& c);
+    // Opens one attempt, or says why there is none.
+    std::optional<refusal> start_attempt(pending& p, cause why,
+                                         base::time_point now, effects& out);
+    void arm_hedge(pending& p, base::time_point now);
+    void hedge(base::request_id id, base::time_point now, effects& out);
     void after_step(base::attempt_id id, attempt::step s, base::time_point now,
                     effects& out);
-    void after_failure(open& failed, base::time_point now, effects& out);
-    void cancel(base::request_id id, reason why, base::time_point now,
-                effects& out);
+    void forward(base::attempt_id id, base::time_point now, effects& out);
+    void after_failure(base::attempt_id id, base::time_point now, effects& out);
+    // Closes every open attempt of the request and answers it.
+    void end(base::request_id id, reason why, base::time_point now,
+             effects& out);
+    void abandon(base::attempt_id id, reason why, base::time_point now,
+                 effects& out);
     void refuse(base::request_id id, refusal r, effects& out);
     void forget_attempt(base::attempt_id id);
     void forget_request(base::request_id id);
@@ -147,9 +179,9 @@
     counters m_counters;
     boost::unordered_flat_map<base::request_id, pending> m_pending;
     boost::unordered_flat_map<base::attempt_id, open> m_open;
-    std::multimap<base::time_point, base::request_id> m_deadlines;
+    std::set<std::tuple<base::time_point, base::request_id, timer>> m_timers;
     target_book m_book;
-    boost::unordered_flat_map<base::kind_id, latency_histogram> m_usual;
+    std::map<kind_key, kind_state> m_kinds;
 };
 
 } // namespace pollenreel::request
--- a/pollenreel/request/tail_benchmark.cpp
+++ b/pollenreel/request/tail_benchmark.cpp
@@ -22,26 +22,16 @@
 
 struct candidate {
     const char* name;
-    core (*make)(std::uint64_t seed);
+    target_policy choose;
+    bool hedges;
 };
 
 const candidate candidates[] = {
-    {"cold first",
-     [](std::uint64_t seed) {
-         return core({seed, cold_first{}});
-     }},
-    {"least in-flight",
-     [](std::uint64_t seed) {
-         return core({seed, least_in_flight{}});
-     }},
-    {"two choices",
-     [](std::uint64_t seed) {
-         return core({seed, two_choices{}});
-     }},
-    {"round robin",
-     [](std::uint64_t seed) {
-         return core({seed, round_robin{}});
-     }},
+    {"cold first, hedged", cold_first{}, true},
+    {"cold first", cold_first{}, false},
+    {"least in-flight, hedged", least_in_flight{}, true},
+    {"two choices, hedged", two_choices{}, true},
+    {"round robin", round_robin{}, false},
 };
 
 // At each moment three targets are slowed, each for 2-10 s.
@@ -81,11 +71,15 @@
     double p99 = 0; // times the clean run's
     double p999 = 0;
     double extra_attempts = 0;
+    double p999_ms = 0;
 };
 
 tails run_candidate(const candidate& c, std::uint64_t seed) {
     auto o = bench_desk(seed);
-    o.make_core = c.make;
+    o.make_core = [&](std::uint64_t own) { return core({own, c.choose}); };
+    if (!c.hedges) {
+        o.service.kinds[0].hedge_percentile = 0;
+    }
     const auto clean = testing::run_fleet(o);
     o.targets.slow_phases = slow_phases(seed, o.warm_up + o.length);
     const auto slowed = testing::run_fleet(o);
@@ -95,10 +89,20 @@
     const auto extra = static_cast<double>(slowed.attempts) /
                            static_cast<double>(slowed.requests) -
                        1;
-    return {times_clean(0.99), times_clean(0.999), extra};
+    return {times_clean(0.99), times_clean(0.999), extra,
+            slowed.streams[0].quantile(0.999)};
+}
+
+// Against a queue that sees every slot: how much longer our p99.9 is.
+double p999_of_ideal(std::uint64_t seed) {
+    auto o = bench_desk(seed);
+    o.targets.slow_phases = slow_phases(seed, o.warm_up + o.length);
+    o.ideal = true;
+    return testing::run_fleet(o).streams[0].quantile(0.999);
 }
 
-void report(measure::results& out, std::uint64_t seed) {
+measure::results report(std::uint64_t seed) {
+    measure::results out;
     std::vector<tails> seen;
     for (const auto& c : candidates) {
         seen.push_back(run_candidate(c, seed));
@@ -117,16 +121,15 @@
         const auto with = at + "p99.9, " + candidates[i].name;
         out.push_back(reported({"tail", with, seed}, seen[i].p999, "x clean"));
     }
+    out.push_back(reported({"tail", at + "p99.9 against one queue", seed},
+                           ours.p999_ms / p999_of_ideal(seed), "x ideal"));
+    return out;
 }
 
 } // namespace
 
 measure::results measure_tail() {
-    measure::results out;
-    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-        report(out, seed);
-    }
-    return out;
+    return for_each_seed(report);
 }
 
 } // namespace pollenreel::request
--- a/pollenreel/routing/snapshot.cpp
+++ b/pollenreel/routing/snapshot.cpp
@@ -11,8 +11,14 @@
 service compile_service(const declarations::service& declared,
                         const declarations::steering& commanded,
                         const snapshot& partial) {
-    service compiled{
-        declared.id, declared.max_connections_per_target, declared.kinds, {}};
+    service compiled;
+    compiled.id = declared.id;
+    compiled.max_connections_per_target = declared.max_connections_per_target;
+    compiled.kinds = declared.kinds;
+    compiled.long_running_percent = declared.long_running_percent;
+    compiled.queue_limit = declared.queue_limit;
+    compiled.in_flight_percent = declared.in_flight_percent;
+    compiled.slow_start = declared.slow_start;
     for (const auto& t : declared.targets) {
         target one;
         one.id = t.id;
--- a/pollenreel/routing/snapshot.hpp
+++ b/pollenreel/routing/snapshot.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -39,6 +40,11 @@
     std::uint32_t max_connections_per_target = 0;
     std::vector<declarations::kind> kinds;
     std::vector<target> targets;
+    // As declared; see declarations::service.
+    std::uint32_t long_running_percent = 50;
+    std::uint32_t queue_limit = 200;
+    std::uint32_t in_flight_percent = 300;
+    std::chrono::milliseconds slow_start{10000};
 };
 
 // A block of clients, `first` to `last` inclusive as host-order IPv4.
--- a/testing/request/virtual_fleet.cpp
+++ b/testing/request/virtual_fleet.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <memory>
 
 namespace pollenreel::testing {
@@ -28,6 +29,10 @@
     service.id = o.service.id;
     service.max_connections_per_target = o.service.max_connections_per_target;
     service.kinds = o.service.kinds;
+    service.long_running_percent = o.service.long_running_percent;
+    service.queue_limit = o.service.queue_limit;
+    service.in_flight_percent = o.service.in_flight_percent;
+    service.slow_start = o.service.slow_start;
     for (std::size_t i = 0; i < o.targets.targets; ++i) {
         routing::target t;
         t.id = base::target_id(std::to_string(i));
@@ -143,12 +148,18 @@
         }
     }
 
+    // Waits for a fast target rather than use a slowed one.
     [[nodiscard]] std::size_t fastest_free_target() const {
-        auto best = m_options.targets.targets;
-        for (std::size_t t = 0; t < m_options.targets.targets; ++t) {
-            if (m_targets.has_free_slot(t) &&
-                (best == m_options.targets.targets ||
-                 m_targets.factor(t) < m_targets.factor(best))) {
+        const auto none = m_options.targets.targets;
+        auto best = none;
+        double least_factor = std::numeric_limits<double>::max();
+        for (std::size_t t = 0; t < none; ++t) {
+            const auto factor = m_targets.factor(t);
+            if (factor < least_factor) {
+                least_factor = factor;
+                best = none;
+            }
+            if (factor <= least_factor && m_targets.has_free_slot(t)) {
                 best = t;
             }
         }
