--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -3,6 +3,7 @@
 // breaks its bound.
 #include "pollenreel/measure/result.hpp"
 #include "pollenreel/node/node_benchmark.hpp"
+#include "pollenreel/request/benchmarks.hpp"
 
 #include <fmt/format.h>
 
@@ -29,6 +30,8 @@
          node::measure_lookup},
         {"path_cost", false, "what the system adds to a request",
          node::measure_path_cost},
+        {"tail", true, "look-up latency while some targets are slowed",
+         request::measure_tail},
     };
     return all;
 }
