Give the store leases, prefix reads, removals and watches

Cause: decisions on shared limits and on the configuration need leases, writes bound to them and watches; the store knew reads and swaps only. Conclusion: the messages are additive; the committer is unchanged but for naming the replies it takes.

--- a/pollenreel/control/committer.cpp
+++ b/pollenreel/control/committer.cpp
@@ -1,5 +1,7 @@
 #include "pollenreel/control/committer.hpp"
 
+#include "pollenreel/base/overloaded.hpp"
+
 namespace pollenreel::control {
 
 namespace {
@@ -24,7 +26,15 @@
 committer::step committer::on_reply(const store::reply& r) {
     step out;
     if (m_phase != phase::idle) {
-        std::visit([&](const auto& one) { on(one, out); }, r);
+        std::visit(base::overloaded{
+                       [&](const store::found& one) { on(one, out); },
+                       [&](const store::swapped& one) { on(one, out); },
+                       [&](const store::conflicting& one) { on(one, out); },
+                       [&](const store::unreachable& one) { on(one, out); },
+                       // Anything else is no answer to what was asked.
+                       [&](const auto&) { on(store::unanswered{}, out); },
+                   },
+                   r);
     }
     return out;
 }
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -139,8 +139,8 @@
     }
 
     void run(const control::call_store& e) {
-        m_store.call(e.request, [this, user = e.user](store::reply r) {
-            handle(control::store_replied{user, std::move(r)});
+        m_store.call(e.request, [this, user = e.user](const store::reply& r) {
+            handle(control::store_replied{user, r});
         });
     }
 
--- a/pollenreel/store/etcd_client.hpp
+++ b/pollenreel/store/etcd_client.hpp
@@ -1,5 +1,5 @@
-// Carries store requests to the platform's key-value service over its
-// HTTP/JSON API.
+// Carries store requests and watches to the platform's key-value service over
+// its HTTP/JSON API.
 #pragma once
 
 #include "pollenreel/base/endpoint.hpp"
@@ -8,15 +8,30 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <vector>
 
 namespace pollenreel::store {
 
+// An open watch; closes it when destroyed, also from within its callback.
+class open_watch {
+public:
+    class state;
+    explicit open_watch(std::shared_ptr<state> s);
+    open_watch(const open_watch&) = delete;
+    open_watch& operator=(const open_watch&) = delete;
+    ~open_watch();
+
+private:
+    std::shared_ptr<state> m_state;
+};
+
 // Runs on the io_context's one thread. Each call uses one endpoint; after a
 // failure the next call uses the next one.
 class etcd_client {
 public:
-    using replied = std::function<void(reply)>;
+    using replied = std::function<void(const reply&)>;
+    using reported = std::function<void(const watch_report&)>;
 
     etcd_client(boost::asio::io_context& io,
                 std::vector<base::endpoint> endpoints,
@@ -25,7 +40,14 @@
     // Delivers `unreachable` only when the request was not received.
     void call(const request& r, replied done);
 
+    // Delivers reports until `watch_compacted` or `watch_cut`, or until the
+    // returned object is destroyed.
+    [[nodiscard]] std::unique_ptr<open_watch> open(const watch& w, reported on);
+
 private:
+    void use_next_endpoint();
+
+    boost::asio::io_context* m_io;
     http::client m_client;
     std::vector<base::endpoint> m_endpoints;
     std::chrono::milliseconds m_timeout;
--- a/pollenreel/store/etcd_codec.hpp
+++ b/pollenreel/store/etcd_codec.hpp
@@ -1,5 +1,6 @@
 // The published HTTP/JSON form of etcd's v3 API, as far as this system uses
-// it: the bodies of /v3/kv/range and /v3/kv/txn. Pure.
+// it: the bodies of /v3/kv/range, /v3/kv/txn, /v3/lease/* and the lines of
+// /v3/watch. Pure.
 #pragma once
 
 #include "pollenreel/base/failure.hpp"
@@ -16,10 +17,19 @@
 };
 
 [[nodiscard]] call encode(const request& r);
+[[nodiscard]] call encode(const watch& w);
 
 // Decodes the body of a 200 answer to `r`; empty when it is not one.
 [[nodiscard]] std::optional<reply> decode(const request& r,
                                           std::string_view body);
+// What an answer with another status says; `unanswered` when nothing sure.
+[[nodiscard]] reply decode_refusal(const request& r, unsigned status);
+// Decodes one line of a watch; empty when it is not one.
+[[nodiscard]] std::optional<watch_report>
+decode_watch_line(std::string_view line);
+
+// First key after all keys that begin with `prefix`, as the API asks for it.
+[[nodiscard]] std::string end_of_prefix(std::string prefix);
 
 // Base64 as the API uses it for keys and values.
 [[nodiscard]] std::string to_base64(std::string_view bytes);
--- a/pollenreel/store/etcd_codec_test.cpp
+++ b/pollenreel/store/etcd_codec_test.cpp
@@ -47,3 +47,71 @@
     CHECK(value->value == "v");
     CHECK(value->modified == store::revision{7});
 }
+
+TEST_CASE("lines of a watch are decoded or refused") {
+    struct row {
+        const char* name;
+        const char* line;
+        std::optional<std::size_t> alternative; // of watch_report
+    };
+    const row rows[] = {
+        {"its opening",
+         R"({"result":{"header":{"revision":"3"},"created":true}})", 0},
+        {"a write and a removal",
+         R"({"result":{"events":[
+            {"kv":{"key":"aw==","value":"dg==","mod_revision":"7"}},
+            {"type":"DELETE","kv":{"key":"aw==","mod_revision":"8"}}]}})",
+         1},
+        {"a report of progress", R"({"result":{"header":{"revision":"3"}}})",
+         1},
+        {"a start that was compacted",
+         R"({"result":{"canceled":true,"compact_revision":"9"}})", 2},
+        {"a cancel", R"({"result":{"canceled":true}})", 3},
+        {"an error", R"({"error":{"message":"no leader"}})", {}},
+        {"a cut line", R"({"result":{"crea)", {}},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        const auto got = etcd::decode_watch_line(r.line);
+        REQUIRE(got.has_value() == r.alternative.has_value());
+        if (got) {
+            CHECK(got->index() == *r.alternative);
+        }
+    }
+    const auto got = etcd::decode_watch_line(rows[1].line);
+    const auto& changes = std::get<store::watch_changed>(*got).changes;
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].value->value == "v");
+    CHECK(changes[1].at == store::revision{8});
+    CHECK(!changes[1].value.has_value());
+}
+
+TEST_CASE("a refusal says only what it proves") {
+    const store::lease_id lease(7);
+    struct row {
+        const char* name;
+        store::request asked;
+        unsigned status;
+        std::size_t alternative; // of reply
+    };
+    const row rows[] = {
+        {"renewing a lease that ended", store::keep_alive{lease}, 404, 8},
+        {"a write that names one", store::compare_and_swap{"k", "v", {}, lease},
+         404, 8},
+        {"revoking one", store::revoke_lease{lease}, 404, 9},
+        {"a write without a lease", store::compare_and_swap{"k", "v", {}}, 404,
+         4},
+        {"a store in trouble", store::compare_and_swap{"k", "v", {}, lease},
+         503, 4},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        CHECK(etcd::decode_refusal(r.asked, r.status).index() == r.alternative);
+    }
+}
+
+TEST_CASE("a prefix ends before the next key that lacks it") {
+    CHECK(etcd::end_of_prefix("a/") == "a0");
+    CHECK(etcd::end_of_prefix("a\xff") == "b");
+    CHECK(etcd::end_of_prefix("\xff") == std::string(1, '\0'));
+}
