Recognise a lost commit among later ones, and rebase what commutes

Cause: a write whose answer was lost was recognised only while no other change came after it; a write that could still arrive was called refused; every race was lost, also between changes that have nothing in common. Change: the configuration remembers its last 256 changes (version, command id, author, summary, scope, time); the committer looks its command up there, says no refusal while an unanswered write may still arrive, makes a change again on top of others of a different scope, names the winner of the same scope, never writes what cannot be read back or is over a megabyte, and does not follow a store that shows less than this instance applies.

--- a/pollenreel/control/answers.cpp
+++ b/pollenreel/control/answers.cpp
@@ -42,10 +42,9 @@
     return std::visit(
         base::overloaded{
             [&](const accepted& a) {
-                return reply(answer_status::ok,
-                             {{"outcome", "accepted"},
-                              {"version", a.configuration.version.value()},
-                              {"summary", a.configuration.summary}});
+                return reply(answer_status::ok, {{"outcome", "accepted"},
+                                                 {"version", a.version.value()},
+                                                 {"summary", a.summary}});
             },
             [&](const refused& r) {
                 return reply(answer_status::refused,
--- a/pollenreel/control/change.cpp
+++ b/pollenreel/control/change.cpp
@@ -210,8 +210,79 @@
     return std::visit([&](const auto& one) { return mutate(c, one); }, m);
 }
 
+std::string service_scope(std::string_view kind, const base::service_id& id) {
+    return fmt::format("{} {}", kind, id.str());
+}
+
+// A shift competes with the others of its service.
+std::string scope(const configuration& c, const base::shift_id& id) {
+    for (const auto& s : c.commanded.shifts) {
+        if (s.id == id) {
+            return service_scope("shifts", s.service);
+        }
+    }
+    return "shift " + id.str();
+}
+
+std::string scope(const base::target_id& id) {
+    return "target " + id.str();
+}
+std::string scope(const base::failure_domain_id& id) {
+    return "domain " + id.str();
+}
+std::string scope(const base::instance_id& id) {
+    return "instance " + id.str();
+}
+
+std::string scope(const configuration&, const apply_document&) {
+    return "declarations";
+}
+std::string scope(const configuration&, const language::drain& m) {
+    return std::visit([](const auto& id) { return scope(id); }, m.what);
+}
+std::string scope(const configuration&, const language::undrain& m) {
+    return std::visit([](const auto& id) { return scope(id); }, m.what);
+}
+std::string scope(const configuration&, const language::start_shift& m) {
+    return service_scope("shifts", m.service);
+}
+std::string scope(const configuration& c, const language::pause_shift& m) {
+    return scope(c, m.shift);
+}
+std::string scope(const configuration& c, const language::resume_shift& m) {
+    return scope(c, m.shift);
+}
+std::string scope(const configuration& c, const language::reverse_shift& m) {
+    return scope(c, m.shift);
+}
+std::string scope(const configuration& c, const language::abort_shift& m) {
+    return scope(c, m.shift);
+}
+std::string scope(const configuration&, const language::set_limit& m) {
+    return service_scope("limits", m.service);
+}
+std::string scope(const configuration&, const language::remove_limit& m) {
+    return service_scope("limits", m.service);
+}
+std::string scope(const configuration& c, const language::change& m) {
+    return std::visit([&](const auto& one) { return scope(c, one); }, m);
+}
+
+void remember(configuration& c, declarations::change_record r) {
+    using declarations::most_recent_changes;
+    c.recent.push_back(std::move(r));
+    if (c.recent.size() > most_recent_changes) {
+        c.recent.erase(c.recent.begin(), c.recent.end() - most_recent_changes);
+    }
+}
+
 } // namespace
 
+std::string scope_of(const change& c, const configuration& current) {
+    return std::visit([&](const auto& m) { return scope(current, m); },
+                      c.mutation);
+}
+
 std::error_code make_error_code(change_error e) {
     static const category instance;
     return {static_cast<int>(e), instance};
@@ -229,6 +300,8 @@
     }
     changed.summary = mutated.value();
     changed.version = current.version.next();
+    remember(changed, {changed.version, c.command, c.author, changed.summary,
+                       scope_of(c, current), c.at});
     return changed;
 }
 
--- a/pollenreel/control/change.hpp
+++ b/pollenreel/control/change.hpp
@@ -23,13 +23,19 @@
     base::command_id command; // makes the change idempotent
     std::string author;
     control::mutation mutation;
+    // When the operator asked, for history only.
+    std::chrono::sys_time<std::chrono::milliseconds> at{};
 };
 
 enum class change_error { unknown_name = 1, no_effect };
 [[nodiscard]] std::error_code make_error_code(change_error e);
 
-// The configuration after `c`, one version on. Fails with unknown_name, or
-// no_effect when `c` would change nothing.
+// What `c` changes, as declarations::change_record::scope.
+[[nodiscard]] std::string scope_of(const change& c,
+                                   const declarations::configuration& current);
+
+// The configuration after `c`, one version on, with `c` in its history. Fails
+// with unknown_name, or no_effect when `c` would change nothing.
 [[nodiscard]] base::result<declarations::configuration>
 apply(const change& c, const declarations::configuration& current);
 
--- a/pollenreel/control/core.cpp
+++ b/pollenreel/control/core.cpp
@@ -131,8 +131,10 @@
 }
 
 void core::take_step(committer::step s, base::time_point now, effects& out) {
-    if (s.seen) {
-        offer(std::move(*s.seen), now, out);
+    for (const auto& text : s.seen) {
+        if (auto decoded = declarations::decode(text)) {
+            offer(std::move(decoded.value()), now, out);
+        }
     }
     for (const auto& d : s.finished) {
         const auto waiting = m_waiting.find(d.command);
@@ -152,6 +154,7 @@
         return;
     }
     m_configuration = std::move(c);
+    m_committer.learn(m_configuration);
     m_published.clear();
     republish(now, out);
     send_heartbeats(out); // tells the peers that there is a greater version
--- a/pollenreel/declarations/configuration.hpp
+++ b/pollenreel/declarations/configuration.hpp
@@ -52,6 +52,27 @@
     friend bool operator==(const steering&, const steering&) = default;
 };
 
+// One accepted change, as operators' history shows it.
+struct change_record {
+    base::config_version version; // that it made
+    base::command_id command;
+    std::string author;
+    std::string summary;
+    // What it changed; two changes made at once conflict if their scopes are
+    // the same, and commute if not.
+    std::string scope;
+    std::chrono::sys_time<std::chrono::milliseconds> at{};
+
+    friend bool operator==(const change_record&,
+                           const change_record&) = default;
+};
+
+// How many changes are remembered: a command whose answer was lost is
+// recognised until as many others came after it.
+constexpr std::size_t most_recent_changes = 256;
+// Most bytes of an encoded configuration: what one value of the store holds.
+constexpr std::size_t most_configuration_bytes = 1'000'000;
+
 struct configuration {
     base::config_version version;
     base::command_id command; // the command that made this version
@@ -59,6 +80,11 @@
     std::string summary;
     document declared;
     steering commanded;
+    std::vector<change_record> recent; // oldest first
+
+    // The change that `command` made, if it is still remembered.
+    [[nodiscard]] const change_record*
+    find_change(const base::command_id& id) const;
 };
 
 // JSON text of the whole configuration, and back. Decoding validates as
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -124,7 +124,8 @@
                                 metrics_text(m_traffic, m_peers.counters(),
                                              m_core.applied())});
                        },
-                       [&](const auto& event) {
+                       [&](auto event) {
+                           stamp(event);
                            m_calls.emplace(m_last_call, std::move(answer));
                            handle(event);
                        },
@@ -132,6 +133,12 @@
                    read_operator_call(r, m_last_call, m_token));
     }
 
+    void stamp(control::change_received& e) const {
+        using std::chrono::milliseconds;
+        e.change.at = std::chrono::floor<milliseconds>(m_clock.wall_now());
+    }
+    void stamp(const control::query_received&) const {}
+
     void handle(const control::event& e) {
         for (const auto& effect : m_core.handle(e, m_clock.now())) {
             std::visit([&](const auto& one) { run(one); }, effect);
