--- a/testing/caller_load.cpp
+++ b/testing/caller_load.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <thread>
 
 namespace pollenreel::testing {
 
@@ -19,6 +20,7 @@
 constexpr milliseconds timeout{3000};
 constexpr int most_tries = 20;
 constexpr int order_every = 4; // one request in four is an order
+constexpr int archive_every = 20;
 constexpr unsigned http_ok = 200;
 
 std::map<std::string, int>
@@ -39,12 +41,21 @@
     return ran;
 }
 
+void add(tally& sum, const tally& t) {
+    sum.asked += t.asked;
+    sum.answered += t.answered;
+    sum.archived += t.archived;
+    sum.lost += t.lost;
+    sum.crossed += t.crossed;
+    sum.acknowledged.insert(t.acknowledged.begin(), t.acknowledged.end());
+    sum.unknown.insert(t.unknown.begin(), t.unknown.end());
+    sum.latencies_ms.insert(sum.latencies_ms.end(), t.latencies_ms.begin(),
+                            t.latencies_ms.end());
+}
+
 } // namespace
 
-caller_load::caller_load(std::string service,
-                         std::vector<base::endpoint> entries, std::string name)
-    : m_service(std::move(service)), m_entries(std::move(entries)),
-      m_name(std::move(name)) {}
+caller_load::caller_load(load_options o) : m_options(std::move(o)) {}
 
 void caller_load::run(int requests) {
     for (int i = 0; i < requests; ++i) {
@@ -54,10 +65,10 @@
 
 // Any instance answers; the first that does decides.
 base::endpoint caller_load::look_up() {
-    for (std::size_t i = 0; i < m_entries.size(); ++i) {
-        const auto& at = m_entries[m_next++ % m_entries.size()];
+    for (std::size_t i = 0; i < m_options.entries.size(); ++i) {
+        const auto& at = m_options.entries[m_next++ % m_options.entries.size()];
         http::request r;
-        r.path = "/lookup?service=" + m_service;
+        r.path = "/lookup?service=" + m_options.service;
         const auto answer = http::call_and_wait(at, r, timeout);
         if (answer && answer.value().status == http_ok) {
             const auto body = json::parse(answer.value().body);
@@ -68,17 +79,22 @@
                 .value();
         }
     }
-    return m_entries.front();
+    return m_options.entries.front();
 }
 
 void caller_load::one(int number) {
+    const auto id = fmt::format("{}-{}", m_options.name, number);
+    const bool archive =
+        !m_options.archive_kind.empty() && number % archive_every == 1;
     const bool order = number % order_every == 0;
-    const auto id = fmt::format("{}-{}", m_name, number);
     http::request r;
-    r.method = order ? "POST" : "GET";
-    r.path = "/svc/" + m_service + "/item/" + id;
+    r.path = "/svc/" + m_options.service + "/item/" + id;
     if (order) {
+        r.method = "POST";
         r.headers = {{"Order-Id", id}};
+    } else if (archive) {
+        r.method = "PUT";
+        r.headers = {{"Pollenreel-Kind", m_options.archive_kind}};
     }
     const auto begin = std::chrono::steady_clock::now();
     for (int i = 0; i < most_tries; ++i) {
@@ -86,6 +102,7 @@
         if (answer && answer.value().status == http_ok) {
             m_tally.crossed +=
                 answer.value().body == "/item/" + id + "\n" ? 0 : 1;
+            m_tally.archived += archive ? 1 : 0;
             return answered(order ? id : "",
                             std::chrono::steady_clock::now() - begin);
         }
@@ -110,6 +127,26 @@
     }
 }
 
+tally run_callers(const load_options& o, int callers, int requests) {
+    std::vector<caller_load> loads;
+    loads.reserve(static_cast<std::size_t>(callers));
+    std::vector<std::thread> threads;
+    threads.reserve(loads.capacity());
+    for (int i = 0; i < callers; ++i) {
+        auto own = o;
+        own.name = fmt::format("{}-{}", o.name, i);
+        auto& load = loads.emplace_back(std::move(own));
+        threads.emplace_back(
+            [&load, requests, callers] { load.run(requests / callers); });
+    }
+    tally sum;
+    for (std::size_t i = 0; i < threads.size(); ++i) {
+        threads[i].join();
+        add(sum, loads[i].result());
+    }
+    return sum;
+}
+
 accounts account(const tally& t, const std::string& name,
                  const std::vector<base::endpoint>& targets) {
     const auto ran = orders_run(targets);
--- a/testing/caller_load.hpp
+++ b/testing/caller_load.hpp
@@ -3,9 +3,8 @@
 // again only when it was told `not-run`, and accounts for every order at the
 // targets.
 //
-//   testing::caller_load load("catalogue", entries);
-//   load.run(600);
-//   auto a = testing::account(load.result(), targets);
+//   auto t = testing::run_callers({"catalogue", entries, "demo"}, 8, 600);
+//   auto a = testing::account(t, "demo", targets);
 #pragma once
 
 #include "pollenreel/base/endpoint.hpp"
@@ -20,8 +19,9 @@
 struct tally {
     int asked = 0;
     int answered = 0;
-    int lost = 0;    // reads that were never answered, orders never accepted
-    int crossed = 0; // answers to another request
+    int archived = 0; // of them archive work
+    int lost = 0;     // reads that were never answered, orders never accepted
+    int crossed = 0;  // answers to another request
     std::set<std::string> acknowledged; // orders answered 200
     std::set<std::string> unknown;      // orders that may have run
     std::vector<double> latencies_ms;
@@ -34,11 +34,17 @@
     int phantom = 0;  // orders that ran though callers were told `not-run`
 };
 
+struct load_options {
+    std::string service;
+    std::vector<base::endpoint> entries; // where a caller asks first
+    std::string name;                    // begins every order id
+    std::string archive_kind; // one request in twenty is of this kind, if any
+};
+
+// One caller, one request at a time.
 class caller_load {
 public:
-    // `entries` are where a caller asks first; `name` begins every order id.
-    caller_load(std::string service, std::vector<base::endpoint> entries,
-                std::string name);
+    explicit caller_load(load_options o);
 
     void run(int requests);
     [[nodiscard]] const tally& result() const { return m_tally; }
@@ -49,13 +55,15 @@
     void answered(const std::string& order,
                   std::chrono::steady_clock::duration);
 
-    std::string m_service;
-    std::vector<base::endpoint> m_entries;
-    std::string m_name;
+    load_options m_options;
     std::size_t m_next = 0;
     tally m_tally;
 };
 
+// Several callers at once, each on a thread of its own; `requests` in all.
+[[nodiscard]] tally run_callers(const load_options& o, int callers,
+                                int requests);
+
 [[nodiscard]] accounts account(const tally& t, const std::string& name,
                                const std::vector<base::endpoint>& targets);
 
--- a/testing/process_test.cpp
+++ b/testing/process_test.cpp
@@ -88,7 +88,8 @@
 TEST_CASE("callers carry on when an instance is killed under load") {
     testing::fleet f({3, 3, 2ms});
     REQUIRE(f.start());
-    testing::caller_load load(testing::fleet::service, f.callers(), "kill");
+    testing::caller_load load(
+        {testing::fleet::service, f.callers(), "kill", ""});
     std::thread killer([&] {
         std::this_thread::sleep_for(300ms);
         f.signal(1, SIGKILL);
