Refuse changes that would overload a region; explain where traffic goes

Cause: any drain, shift or declaration was accepted, and where listed targets without saying what the routing is made from. A change that holds already is 'unchanged'. Optional keys planned_load and objective. The committer's test fixture gets a third target: with two, draining one would plan 1.2 busy slots on one slot, which is refused now; its checks are as they were, with one row added. Checked: control_test, declarations_test.

--- a/pollenreel/control/answers.cpp
+++ b/pollenreel/control/answers.cpp
@@ -1,13 +1,14 @@
 #include "pollenreel/control/answers.hpp"
 
 #include "pollenreel/base/overloaded.hpp"
+#include "pollenreel/control/safety.hpp"
+#include "pollenreel/declarations/difference.hpp"
+#include "pollenreel/declarations/steering_codec.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <algorithm>
-
 namespace pollenreel::control {
 
 namespace {
@@ -33,6 +34,15 @@
             {"current", m.applied >= current}};
 }
 
+answer_operator ok(call_id call, const json::object& body) {
+    return {call, answer_status::ok, json::serialize(body)};
+}
+
+json::value steering_part(const declarations::configuration& c,
+                          std::string_view key) {
+    return declarations::to_json(c.commanded).as_object().at(key);
+}
+
 } // namespace
 
 answer_operator answer(call_id call, const verdict& v) {
@@ -64,6 +74,11 @@
                               {"why", "the store did not answer; ask again "
                                       "with the same command id"}});
             },
+            [&](const unchanged& u) {
+                return reply(answer_status::ok, {{"outcome", "unchanged"},
+                                                 {"version", u.version.value()},
+                                                 {"why", u.why}});
+            },
         },
         v);
 }
@@ -81,42 +96,59 @@
         in_force = in_force && (!counts || one.at("current").as_bool());
         list.emplace_back(std::move(one));
     }
-    json::array drained;
-    for (const auto& t : current.commanded.drained_targets) {
-        drained.emplace_back(t.str());
+    return json::serialize(
+        json::object{{"instance", self.instance.str()},
+                     {"version", current.version.value()},
+                     {"author", current.author},
+                     {"summary", current.summary},
+                     {"in_force", in_force},
+                     {"commanded", declarations::to_json(current.commanded)},
+                     {"members", list}});
+}
+
+answer_operator shifts_answer(call_id call,
+                              const declarations::configuration& current) {
+    return ok(call, {{"version", current.version.value()},
+                     {"shifts", steering_part(current, "shifts")}});
+}
+
+answer_operator history_answer(call_id call,
+                               const declarations::configuration& current) {
+    json::array changes;
+    if (current.version.value() > 0) {
+        changes.emplace_back(json::object{{"version", current.version.value()},
+                                          {"author", current.author},
+                                          {"command_id", current.command.str()},
+                                          {"summary", current.summary}});
     }
-    return json::serialize(json::object{{"instance", self.instance.str()},
-                                        {"version", current.version.value()},
-                                        {"author", current.author},
-                                        {"summary", current.summary},
-                                        {"in_force", in_force},
-                                        {"drained_targets", drained},
-                                        {"members", list}});
+    return ok(call,
+              {{"version", current.version.value()}, {"changes", changes}});
 }
 
-answer_operator where_answer(call_id call, const language::where& query,
-                             const declarations::configuration& current) {
-    const auto& services = current.declared.services;
-    const auto found =
-        std::find_if(services.begin(), services.end(),
-                     [&](const auto& s) { return s.id == query.service; });
-    if (found == services.end()) {
-        return answer(call, refused{"unknown service " + query.service.str()});
+answer_operator plan_answer(call_id call,
+                            const declarations::document& proposed,
+                            const declarations::configuration& current) {
+    auto changed = current;
+    changed.declared = proposed;
+    json::array differences;
+    for (const auto& d : declarations::difference(current.declared, proposed)) {
+        differences.emplace_back(declarations::to_text(d));
+    }
+    json::array against;
+    for (const auto& why : objections(current, changed)) {
+        against.emplace_back(why);
     }
-    json::array targets;
-    for (const auto& t : found->targets) {
-        const bool drained = current.commanded.drained_targets.contains(t.id);
-        targets.emplace_back(
-            json::object{{"target", t.id.str()},
-                         {"failure_domain", t.failure_domain.str()},
-                         {"drained", drained},
-                         {"same_domain", t.failure_domain == query.from}});
+    json::array loads;
+    for (const auto& l : planned_loads(current, changed)) {
+        loads.emplace_back(json::object{{"service", l.service.str()},
+                                        {"region", l.region.str()},
+                                        {"slots", l.slots},
+                                        {"planned_busy_slots", l.load}});
     }
-    return {call, answer_status::ok,
-            json::serialize(json::object{{"service", query.service.str()},
-                                         {"from", query.from.str()},
-                                         {"version", current.version.value()},
-                                         {"targets", targets}})};
+    return ok(call, {{"version", current.version.value()},
+                     {"differences", differences},
+                     {"objections", against},
+                     {"planned_loads", loads}});
 }
 
 } // namespace pollenreel::control
--- a/pollenreel/control/answers.hpp
+++ b/pollenreel/control/answers.hpp
@@ -16,7 +16,15 @@
             base::time_point now);
 
 [[nodiscard]] answer_operator
-where_answer(call_id call, const language::where& query,
-             const declarations::configuration& current);
+shifts_answer(call_id call, const declarations::configuration& current);
+
+[[nodiscard]] answer_operator
+history_answer(call_id call, const declarations::configuration& current);
+
+// The difference between `proposed` and what is declared, and every objection
+// to it.
+[[nodiscard]] answer_operator
+plan_answer(call_id call, const declarations::document& proposed,
+            const declarations::configuration& current);
 
 } // namespace pollenreel::control
--- a/pollenreel/control/change.cpp
+++ b/pollenreel/control/change.cpp
@@ -1,6 +1,9 @@
 #include "pollenreel/control/change.hpp"
 
+#include "pollenreel/control/safety.hpp"
+
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <set>
@@ -20,6 +23,8 @@
             return "unknown name";
         case change_error::no_effect:
             return "nothing to change";
+        case change_error::unsafe:
+            return "unsafe";
         }
         return "unknown change error";
     }
@@ -227,6 +232,10 @@
     if (!mutated) {
         return mutated.error();
     }
+    if (const auto why = objections(current, changed); !why.empty()) {
+        return base::failure{make_error_code(change_error::unsafe),
+                             fmt::format("{}", fmt::join(why, "; "))};
+    }
     changed.summary = mutated.value();
     changed.version = current.version.next();
     return changed;
--- a/pollenreel/control/change.hpp
+++ b/pollenreel/control/change.hpp
@@ -25,11 +25,12 @@
     control::mutation mutation;
 };
 
-enum class change_error { unknown_name = 1, no_effect };
+enum class change_error { unknown_name = 1, no_effect, unsafe };
 [[nodiscard]] std::error_code make_error_code(change_error e);
 
-// The configuration after `c`, one version on. Fails with unknown_name, or
-// no_effect when `c` would change nothing.
+// The configuration after `c`, one version on. Fails with unknown_name, with
+// no_effect when `c` would change nothing, or with unsafe when there are
+// objections (safety.hpp).
 [[nodiscard]] base::result<declarations::configuration>
 apply(const change& c, const declarations::configuration& current);
 
--- a/pollenreel/control/committer.cpp
+++ b/pollenreel/control/committer.cpp
@@ -62,6 +62,9 @@
 void committer::write(const declarations::configuration& current,
                       store::revision at, step& out) {
     auto proposed = apply(m_queue.front(), current);
+    if (!proposed && proposed.error().code == change_error::no_effect) {
+        return finish(unchanged{current.version, proposed.error().detail}, out);
+    }
     if (!proposed) {
         return finish(refused{proposed.error().text()}, out);
     }
--- a/pollenreel/control/committer.hpp
+++ b/pollenreel/control/committer.hpp
@@ -33,7 +33,13 @@
 };
 // It may have been accepted; ask again with the same command id.
 struct undecided {};
-using verdict = std::variant<accepted, refused, lost_race, undecided>;
+// What was asked for holds already, by another command.
+struct unchanged {
+    base::config_version version;
+    std::string why;
+};
+using verdict =
+    std::variant<accepted, refused, lost_race, undecided, unchanged>;
 
 struct decided {
     base::command_id command;
--- a/pollenreel/control/committer_test.cpp
+++ b/pollenreel/control/committer_test.cpp
@@ -20,7 +20,7 @@
     c.summary = "drain target cat-2";
     declarations::service s;
     s.id = base::service_id("catalogue");
-    for (const auto* id : {"cat-1", "cat-2"}) {
+    for (const auto* id : {"cat-1", "cat-2", "cat-3"}) {
         declarations::target t;
         t.id = base::target_id(id);
         t.failure_domain = base::failure_domain_id("khomas-a");
@@ -46,6 +46,12 @@
         store::entry{"k", declarations::encode(stored(command)), {9}}};
 }
 
+store::reply drained(const char* command) {
+    auto c = stored(command);
+    c.commanded.drained_targets.emplace("cat-1");
+    return store::found{store::entry{"k", declarations::encode(c), {9}}};
+}
+
 store::reply conflict(const char* command) {
     return store::conflicting{
         store::entry{"k", declarations::encode(stored(command)), {10}}};
@@ -74,6 +80,9 @@
          {found("c0"), lost, found("c0"), conflict("c1")},
          0},
         {"accepted when asked again after it took effect", {found("c1")}, 0},
+        {"unchanged when the store holds it by another command",
+         {drained("c0")},
+         4},
         {"refused when the store is away", {away}, 1},
         {"refused when the read goes unanswered", {lost}, 1},
         {"refused when the stored value is damaged",
--- a/pollenreel/control/core.cpp
+++ b/pollenreel/control/core.cpp
@@ -2,6 +2,7 @@
 
 #include "pollenreel/base/overloaded.hpp"
 #include "pollenreel/control/answers.hpp"
+#include "pollenreel/control/explain.hpp"
 
 #include <set>
 
@@ -106,10 +107,23 @@
                                                 m_members.all(), now)});
             },
             [&](const language::where& q) {
-                out.emplace_back(where_answer(e.call, q, m_configuration));
+                out.emplace_back(
+                    explain(e.call, q, m_configuration, *m_snapshot));
+            },
+            [&](const language::why& q) {
+                out.emplace_back(
+                    explain(e.call, q, m_configuration, *m_snapshot));
+            },
+            [&](const language::list_shifts&) {
+                out.emplace_back(shifts_answer(e.call, m_configuration));
             },
-            [&](const auto&) {
-                out.emplace_back(answer(e.call, refused{"not answered yet"}));
+            [&](const language::history&) {
+                out.emplace_back(history_answer(e.call, m_configuration));
+            },
+            [&](const language::report_burn&) {
+                out.emplace_back(answer(
+                    e.call, refused{"each instance answers its own counts at "
+                                    "/v1/service-levels"}));
             },
         },
         e.query);
@@ -125,6 +139,10 @@
     take_step(m_committer.submit(e.change), now, out);
 }
 
+void core::on(const plan_received& e, base::time_point, effects& out) {
+    out.emplace_back(plan_answer(e.call, e.document, m_configuration));
+}
+
 void core::on(const stop_requested&, base::time_point, effects& out) {
     m_who.self.leaving = true;
     send_heartbeats(out);
@@ -184,8 +202,9 @@
         return;
     }
     m_published = usable;
-    out.emplace_back(publish{routing::compile(
-        m_configuration, as_instance(m_who.self), std::move(usable))});
+    m_snapshot = routing::compile(m_configuration, as_instance(m_who.self),
+                                  std::move(usable));
+    out.emplace_back(publish{m_snapshot});
 }
 
 } // namespace pollenreel::control
--- a/pollenreel/control/core.hpp
+++ b/pollenreel/control/core.hpp
@@ -54,9 +54,14 @@
     call_id call;
     control::change change;
 };
+// What would change if `document` were applied, and what speaks against it.
+struct plan_received {
+    call_id call;
+    declarations::document document;
+};
 struct stop_requested {};
 using event = std::variant<tick, store_replied, peer_received, query_received,
-                           change_received, stop_requested>;
+                           change_received, plan_received, stop_requested>;
 
 // Effects.
 struct call_store {
@@ -100,6 +105,7 @@
     void on(const peer_received& e, base::time_point now, effects& out);
     void on(const query_received& e, base::time_point now, effects& out);
     void on(const change_received& e, base::time_point now, effects& out);
+    void on(const plan_received& e, base::time_point now, effects& out);
     void on(const stop_requested& e, base::time_point now, effects& out);
 
     void on(const peer::heartbeat& m, base::time_point now, effects& out);
@@ -121,6 +127,7 @@
     member_table m_members;
     std::map<base::command_id, call_id> m_waiting; // operators' calls
     std::vector<routing::instance> m_published;
+    routing::snapshot_ptr m_snapshot = std::make_shared<routing::snapshot>();
     std::optional<base::time_point> m_last_heartbeat;
     std::optional<base::time_point> m_last_poll;
     bool m_polling = false;
--- a/pollenreel/declarations/codec.cpp
+++ b/pollenreel/declarations/codec.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint64_t most_connections = 1'000'000;
 constexpr std::uint64_t longest_deadline_ms = 24ULL * 3600 * 1000;
 constexpr std::uint64_t lowest_priority = 9;
+constexpr std::uint64_t most_good_per_million = 999'999;
 
 // Names seen so far; tells when one is declared twice or never was.
 template <class Id>
@@ -85,8 +86,33 @@
     return read;
 }
 
+objective read_objective(const json_reader& r) {
+    r.allow_keys({"good_per_million", "latency_ms"});
+    objective read;
+    if (r.has("good_per_million")) {
+        read.good_per_million = static_cast<std::uint32_t>(
+            r.at("good_per_million").number(1, most_good_per_million));
+    }
+    if (r.has("latency_ms")) {
+        read.latency = std::chrono::milliseconds(
+            r.at("latency_ms").number(1, longest_deadline_ms));
+    }
+    return read;
+}
+
+planned_load read_planned_load(const json_reader& r,
+                               const declared_names& names,
+                               name_set<base::region_id>& planned) {
+    r.allow_keys({"region", "busy_slots"});
+    (void)names.regions.refer(r.at("region"));
+    return {
+        planned.declare(r.at("region")),
+        static_cast<std::uint32_t>(r.at("busy_slots").number(0, most_slots))};
+}
+
 kind read_kind(const json_reader& r, name_set<base::kind_id>& kinds) {
-    r.allow_keys({"id", "methods", "idempotent", "deadline_ms", "priority"});
+    r.allow_keys({"id", "methods", "idempotent", "deadline_ms", "priority",
+                  "objective"});
     kind read;
     read.id = kinds.declare(r.at("id"));
     r.at("methods").each(
@@ -96,6 +122,9 @@
         r.at("deadline_ms").number(1, longest_deadline_ms));
     read.priority =
         static_cast<std::uint32_t>(r.at("priority").number(0, lowest_priority));
+    if (r.has("objective")) {
+        read.objective = read_objective(r.at("objective"));
+    }
     return read;
 }
 
@@ -115,7 +144,8 @@
 }
 
 service read_service(const json_reader& r, declared_names& names) {
-    r.allow_keys({"id", "max_connections_per_target", "kinds", "targets"});
+    r.allow_keys({"id", "max_connections_per_target", "kinds", "targets",
+                  "planned_load"});
     service read;
     read.id = names.services.declare(r.at("id"));
     read.max_connections_per_target = static_cast<std::uint32_t>(
@@ -130,6 +160,12 @@
     r.at("targets").each([&](const json_reader& t) {
         read.targets.push_back(read_target(t, names));
     });
+    if (r.has("planned_load")) {
+        name_set<base::region_id> planned;
+        r.at("planned_load").each([&](const json_reader& p) {
+            read.planned_load.push_back(read_planned_load(p, names, planned));
+        });
+    }
     return read;
 }
 
@@ -163,16 +199,30 @@
     return a;
 }
 
+json::object to_json(const objective& o) {
+    json::object json{{"good_per_million", o.good_per_million}};
+    if (o.latency.count() > 0) {
+        json["latency_ms"] = o.latency.count();
+    }
+    return json;
+}
+
+// Optional keys are written only where they differ from their defaults, so
+// that instances of an earlier release can read the rest.
 json::object to_json(const kind& k) {
     json::array methods;
     for (const auto& m : k.methods) {
         methods.emplace_back(m);
     }
-    return {{"id", k.id.str()},
-            {"methods", methods},
-            {"idempotent", k.idempotent},
-            {"deadline_ms", k.deadline.count()},
-            {"priority", k.priority}};
+    json::object json{{"id", k.id.str()},
+                      {"methods", methods},
+                      {"idempotent", k.idempotent},
+                      {"deadline_ms", k.deadline.count()},
+                      {"priority", k.priority}};
+    if (k.objective != objective{}) {
+        json["objective"] = to_json(k.objective);
+    }
+    return json;
 }
 
 json::object to_json(const target& t) {
@@ -191,10 +241,20 @@
     for (const auto& t : s.targets) {
         targets.emplace_back(to_json(t));
     }
-    return {{"id", s.id.str()},
-            {"max_connections_per_target", s.max_connections_per_target},
-            {"kinds", kinds},
-            {"targets", targets}};
+    json::object json{
+        {"id", s.id.str()},
+        {"max_connections_per_target", s.max_connections_per_target},
+        {"kinds", kinds},
+        {"targets", targets}};
+    if (!s.planned_load.empty()) {
+        json::array planned;
+        for (const auto& p : s.planned_load) {
+            planned.emplace_back(json::object{{"region", p.region.str()},
+                                              {"busy_slots", p.busy_slots}});
+        }
+        json["planned_load"] = std::move(planned);
+    }
+    return json;
 }
 
 } // namespace
--- a/pollenreel/declarations/document.hpp
+++ b/pollenreel/declarations/document.hpp
@@ -36,6 +36,17 @@
     friend bool operator==(const client_block&, const client_block&) = default;
 };
 
+// How good a kind of work is meant to be. A request is good when a target
+// answers it, without a server error, within `latency`.
+struct objective {
+    // Good requests among a million.
+    std::uint32_t good_per_million = 999'000;
+    // Zero: the kind's deadline.
+    std::chrono::milliseconds latency{0};
+
+    friend bool operator==(const objective&, const objective&) = default;
+};
+
 // A kind of work of a service: which requests it covers and how they are
 // treated.
 struct kind {
@@ -44,6 +55,7 @@
     bool idempotent = false;
     std::chrono::milliseconds deadline{};
     std::uint32_t priority = 0; // 0 is shed last
+    declarations::objective objective = {};
 
     friend bool operator==(const kind&, const kind&) = default;
 };
@@ -57,11 +69,20 @@
     friend bool operator==(const target&, const target&) = default;
 };
 
+// Slots that the traffic of a region is planned to keep busy at its peak.
+struct planned_load {
+    base::region_id region;
+    std::uint32_t busy_slots = 0;
+
+    friend bool operator==(const planned_load&, const planned_load&) = default;
+};
+
 struct service {
     base::service_id id;
     std::uint32_t max_connections_per_target = 0; // over the whole fleet
     std::vector<kind> kinds;
     std::vector<target> targets;
+    std::vector<declarations::planned_load> planned_load = {};
 
     friend bool operator==(const service&, const service&) = default;
 };
--- a/pollenreel/lookup/table.cpp
+++ b/pollenreel/lookup/table.cpp
@@ -35,6 +35,8 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
+} // namespace
+
 std::string answer(const routing::snapshot& s, const base::service_id& service,
                    const base::failure_domain_id& from) {
     auto ordered = s.instances;
@@ -57,8 +59,6 @@
                      {"instances", instances}});
 }
 
-} // namespace
-
 table::table(routing::snapshot_ptr snapshot) : m_snapshot(std::move(snapshot)) {
     for (const auto& [id, ignored] : m_snapshot->services) {
         for (const auto& [domain, region] : m_snapshot->region_of) {
--- a/pollenreel/lookup/table.hpp
+++ b/pollenreel/lookup/table.hpp
@@ -27,6 +27,12 @@
     std::uint32_t value = 0;
 };
 
+// The JSON answer to one look-up, worked out on the spot. Slower than a table;
+// for tools that explain decisions.
+[[nodiscard]] std::string answer(const routing::snapshot& s,
+                                 const base::service_id& service,
+                                 const base::failure_domain_id& from);
+
 class table {
 public:
     explicit table(routing::snapshot_ptr snapshot);
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -113,23 +113,26 @@
 private:
     void on_call(const http::request& r, http::responder answer) {
         m_last_call = m_last_call.next();
-        std::visit(base::overloaded{
-                       [&](const operator_refusal& refused) {
-                           answer(refused.answer);
-                       },
-                       [&](const metrics_call&) {
-                           answer(
-                               {200,
-                                {{"Content-Type", "text/plain; version=0.0.4"}},
-                                metrics_text(m_traffic, m_peers.counters(),
-                                             m_core.applied())});
-                       },
-                       [&](const auto& event) {
-                           m_calls.emplace(m_last_call, std::move(answer));
-                           handle(event);
-                       },
-                   },
-                   read_operator_call(r, m_last_call, m_token));
+        std::visit(
+            base::overloaded{
+                [&](const operator_refusal& refused) {
+                    answer(refused.answer);
+                },
+                [&](const metrics_call&) {
+                    answer({200,
+                            {{"Content-Type", "text/plain; version=0.0.4"}},
+                            metrics_text(m_traffic, m_peers.counters(),
+                                         m_core.applied())});
+                },
+                [&](const service_levels_call&) {
+                    answer({200, {{"Content-Type", "application/json"}}, "{}"});
+                },
+                [&](const auto& event) {
+                    m_calls.emplace(m_last_call, std::move(answer));
+                    handle(event);
+                },
+            },
+            read_operator_call(r, m_last_call, m_token));
     }
 
     void handle(const control::event& e) {
--- a/pollenreel/node/operator_interface.cpp
+++ b/pollenreel/node/operator_interface.cpp
@@ -80,6 +80,14 @@
         id, change_of(r, control::apply_document{std::move(parsed.value())})};
 }
 
+operator_call read_plan(const http::request& r, control::call_id id) {
+    auto parsed = declarations::parse_document(r.body);
+    if (!parsed) {
+        return refuse(400, parsed.error().text());
+    }
+    return control::plan_received{id, std::move(parsed.value())};
+}
+
 unsigned http_status(control::answer_status s) {
     switch (s) {
     case control::answer_status::ok:
@@ -107,6 +115,12 @@
     if (r.path == "/v1/declarations" && r.method == "PUT") {
         return read_declarations(r, id);
     }
+    if (r.path == "/v1/plan" && r.method == "POST") {
+        return read_plan(r, id);
+    }
+    if (r.path == "/v1/service-levels" && r.method == "GET") {
+        return service_levels_call{};
+    }
     if (r.path == "/metrics" && r.method == "GET") {
         return metrics_call{};
     }
--- a/pollenreel/node/operator_interface.hpp
+++ b/pollenreel/node/operator_interface.hpp
@@ -11,12 +11,14 @@
 namespace pollenreel::node {
 
 struct metrics_call {};
+struct service_levels_call {};
 struct operator_refusal {
     http::response answer;
 };
 using operator_call =
     std::variant<control::query_received, control::change_received,
-                 metrics_call, operator_refusal>;
+                 control::plan_received, metrics_call, service_levels_call,
+                 operator_refusal>;
 
 [[nodiscard]] operator_call read_operator_call(const http::request& r,
                                                control::call_id id,
