Give the operators' tool readable output, exit codes, plan and waiting

Cause: the tool printed JSON and told three statuses apart. Checked: cli_test. http_test failed once in 'ctest -j4' while ten lint jobs ran, and passed in the next six runs; it is not part of this change.

--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -1,138 +1,124 @@
 // pollenreel: the operators' tool.
-#include "pollenreel/http/client.hpp"
-#include "pollenreel/http/error.hpp"
+#include "cli/options.hpp"
+#include "cli/render.hpp"
+#include "cli/wait_in_force.hpp"
+#include "pollenreel/language/parser.hpp"
 
-#include <boost/uuid/random_generator.hpp>
-#include <boost/uuid/uuid_io.hpp>
+#include <boost/json/serialize.hpp>
 #include <fmt/format.h>
-#include <tclap/CmdLine.h>
-
-#include <cstdlib>
-#include <fstream>
-#include <sstream>
+#include <fmt/ranges.h>
+#include <tclap/ArgException.h>
 
 namespace {
 
 using namespace pollenreel;
+using cli::exit_code;
 
-constexpr int exit_refused = 1;
-constexpr int exit_lost_race = 2;
-constexpr int exit_unknown = 3;
-constexpr int exit_bad_usage = 64;
-constexpr int exit_unreachable = 69;
-constexpr std::chrono::milliseconds call_timeout{15'000};
-
-struct command_line {
-    base::endpoint instance;
-    std::string token;
-    std::string author;
-    std::string command_id;
-    std::vector<std::string> words;
-};
-
-std::string read_whole(const std::string& path) {
-    std::ifstream file(path);
-    std::ostringstream text;
-    if (!file || !(text << file.rdbuf())) {
-        throw TCLAP::ArgException("cannot read " + path);
+void print(const cli::options& o, const cli::reply& r,
+           const std::string& text) {
+    if (o.json) {
+        fmt::print("{}\n", boost::json::serialize(r.body));
+    } else {
+        fmt::print("{}", text);
     }
-    return text.str();
 }
 
-std::string first_line(const std::string& text) {
-    return text.substr(0, text.find_first_of("\r\n"));
+// Says that there is no answer and what that means.
+exit_code without_answer(const cli::options& o, const cli::reply& r,
+                         bool changes) {
+    fmt::print(stderr, "{}\n", r.problem);
+    if (r.code == exit_code::unreachable) {
+        fmt::print(stderr, "nothing was changed; ask another instance\n");
+    } else if (changes) {
+        fmt::print(stderr,
+                   "unknown: it may have been accepted; ask again with "
+                   "--command-id {}\n",
+                   o.who.command_id);
+    }
+    return r.code;
 }
 
-command_line read_command_line(int argc, char** argv) {
-    TCLAP::CmdLine cmd("Operators' tool. Commands: status; where SERVICE from "
-                       "DOMAIN; drain target T; undrain target T; apply FILE",
-                       ' ', POLLENREEL_VERSION);
-    const TCLAP::ValueArg<std::string> instance(
-        "i", "instance", "Operators' listener of any instance", true, "",
-        "IP:PORT", cmd);
-    const TCLAP::ValueArg<std::string> token_file(
-        "t", "token-file", "File that holds the operators' token", true, "",
-        "FILE", cmd);
-    const TCLAP::ValueArg<std::string> author(
-        "a", "author", "Name under which changes are recorded", false,
-        "unnamed", "NAME", cmd);
-    const TCLAP::ValueArg<std::string> command_id(
-        "c", "command-id", "Repeat the command with this id", false, "", "ID",
-        cmd);
-    const TCLAP::UnlabeledMultiArg<std::string> words(
-        "command", "Query or command", true, "WORD", cmd);
-    cmd.parse(argc, argv);
-    auto parsed = base::parse_endpoint(instance.getValue());
-    if (!parsed) {
-        throw TCLAP::ArgException(parsed.error().detail, "instance");
+exit_code finish_change(const cli::options& o,
+                        const cli::instance_client& client,
+                        const cli::reply& r) {
+    if (!r.problem.empty()) {
+        return without_answer(o, r, true);
     }
-    auto id = command_id.getValue();
-    if (id.empty()) {
-        id = to_string(boost::uuids::random_generator()());
+    print(o, r, cli::render_outcome(r.body, o.who.command_id));
+    if (o.wait && r.code == exit_code::done) {
+        return cli::wait_in_force(
+            client, r.body.at("version").to_number<std::uint64_t>(),
+            o.wait_at_most);
     }
-    return {parsed.value(), first_line(read_whole(token_file.getValue())),
-            author.getValue(), id, words.getValue()};
+    return r.code;
 }
 
-http::request to_request(const command_line& line) {
-    http::request r;
-    r.method = "POST";
-    r.path = "/v1/command";
-    if (line.words.size() == 2 && line.words[0] == "apply") {
-        r.method = "PUT";
-        r.path = "/v1/declarations";
-        r.body = read_whole(line.words[1]);
-    } else {
-        r.body = fmt::format("{}", fmt::join(line.words, " "));
+exit_code plan(const cli::options& o, const cli::instance_client& client) {
+    const auto r =
+        client.call("POST", "/v1/plan", cli::read_whole(o.words.at(1)));
+    if (!r.problem.empty()) {
+        return without_answer(o, r, false);
+    }
+    if (r.code != exit_code::done) {
+        print(o, r, cli::render_outcome(r.body, ""));
+        return r.code;
     }
-    r.headers = {{"Authorization", "Bearer " + line.token},
-                 {"Pollenreel-Author", line.author},
-                 {"Pollenreel-Command-Id", line.command_id}};
-    return r;
+    print(o, r, cli::render_plan(r.body));
+    if (r.body.at("differences").as_array().empty()) {
+        return exit_code::done;
+    }
+    return r.body.at("objections").as_array().empty() ? exit_code::differences
+                                                      : exit_code::refused;
+}
+
+exit_code apply(const cli::options& o, const cli::instance_client& client) {
+    return finish_change(
+        o, client,
+        client.call("PUT", "/v1/declarations", cli::read_whole(o.words.at(1))));
 }
 
-int exit_code(unsigned status) {
-    switch (status) {
-    case 200:
-        return EXIT_SUCCESS;
-    case 409:
-        return exit_lost_race;
-    case 504:
-        return exit_unknown;
-    default:
-        return exit_refused;
+exit_code ask_or_command(const cli::options& o,
+                         const cli::instance_client& client) {
+    const auto line = fmt::format("{}", fmt::join(o.words, " "));
+    const auto parsed = language::parse_line(line);
+    if (!parsed) {
+        const auto& problem = parsed.error();
+        fmt::print(stderr, "{}",
+                   cli::render_caret(line, problem.column, problem.text()));
+        return exit_code::bad_usage;
     }
+    const auto r = client.call("POST", "/v1/command", line);
+    if (std::holds_alternative<language::change>(parsed.value())) {
+        return finish_change(o, client, r);
+    }
+    if (!r.problem.empty()) {
+        return without_answer(o, r, false);
+    }
+    print(o, r, cli::render(parsed.value(), r.body));
+    return r.code;
 }
 
-int run(const command_line& line) {
-    const auto answer =
-        http::call_and_wait(line.instance, to_request(line), call_timeout);
-    if (!answer) {
-        const bool not_received =
-            answer.error().code ==
-            http::make_error_code(http::error::connect_failed);
-        fmt::print(stderr, "{}{}\n", answer.error().text(),
-                   not_received ? ""
-                                : fmt::format("; the command may have taken "
-                                              "effect: repeat it with "
-                                              "--command-id {}",
-                                              line.command_id));
-        return not_received ? exit_unreachable : exit_unknown;
+exit_code run(const cli::options& o) {
+    const cli::instance_client client(o.instance, o.who);
+    if (o.words.size() == 2 && o.words[0] == "plan") {
+        return plan(o, client);
+    }
+    if (o.words.size() == 2 && o.words[0] == "apply") {
+        return apply(o, client);
     }
-    fmt::print("{}\n", answer.value().body);
-    return exit_code(answer.value().status);
+    return ask_or_command(o, client);
 }
 
 } // namespace
 
 int main(int argc, char** argv) {
     try {
-        return run(read_command_line(argc, argv));
+        return static_cast<int>(run(cli::read_options(argc, argv)));
     } catch (const TCLAP::ArgException& e) {
         fmt::print(stderr, "{} {}\n", e.error(), e.argId());
-        return exit_bad_usage;
+        return static_cast<int>(exit_code::bad_usage);
     } catch (const std::exception& e) {
-        fmt::print(stderr, "{}\n", e.what());
-        return EXIT_FAILURE;
+        fmt::print(stderr, "the answer cannot be read: {}\n", e.what());
+        return static_cast<int>(exit_code::unknown);
     }
 }
--- /dev/null
+++ b/cli/options.cpp
@@ -0,0 +1,89 @@
+#include "cli/options.hpp"
+
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace pollenreel::cli {
+
+namespace {
+
+constexpr std::string_view about =
+    "Asks and commands a pollenreel fleet through any of its instances. "
+    "COMMAND is one of: status | where SERVICE from DOMAIN | why SERVICE from "
+    "DOMAIN | shifts | history | report burn | drain PLACE | undrain PLACE | "
+    "shift SERVICE REGION -> REGION SHARE cap BANDWIDTH over DURATION | pause, "
+    "resume, reverse or abort shift ID | limit SERVICE in REGION RATE | "
+    "unlimit SERVICE in REGION | plan FILE | apply FILE. PLACE is target "
+    "NAME, domain NAME or instance NAME. Quote '->'. ";
+
+std::string first_line(const std::string& text) {
+    return text.substr(0, text.find_first_of("\r\n"));
+}
+
+base::endpoint read_endpoint(const std::string& text) {
+    auto parsed = base::parse_endpoint(text);
+    if (!parsed) {
+        throw TCLAP::ArgException(parsed.error().detail, "instance");
+    }
+    return parsed.value();
+}
+
+} // namespace
+
+std::string read_whole(const std::string& path) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        throw TCLAP::ArgException("cannot read " + path);
+    }
+    return text.str();
+}
+
+options read_options(int argc, char** argv) {
+    TCLAP::CmdLine cmd(std::string(about) + std::string(exit_codes_help), ' ',
+                       POLLENREEL_VERSION);
+    const TCLAP::ValueArg<std::string> instance(
+        "i", "instance", "Operators' listener of any instance", true, "",
+        "IP:PORT", cmd);
+    const TCLAP::ValueArg<std::string> token_file(
+        "t", "token-file", "File that holds the operators' token", true, "",
+        "FILE", cmd);
+    const TCLAP::ValueArg<std::string> author(
+        "a", "author", "Name under which changes are recorded", false,
+        "unnamed", "NAME", cmd);
+    const TCLAP::ValueArg<std::string> command_id(
+        "c", "command-id", "Repeat the command with this id", false, "", "ID",
+        cmd);
+    const TCLAP::SwitchArg json("j", "json", "Answer in JSON, for machines",
+                                cmd);
+    const TCLAP::SwitchArg wait(
+        "w", "wait", "After a change, wait until it is in force", cmd);
+    const TCLAP::ValueArg<std::uint32_t> wait_seconds(
+        "", "wait-seconds", "Longest that --wait waits", false, 30, "SECONDS",
+        cmd);
+    const TCLAP::ValueArg<std::string> html(
+        "", "html", "Write 'report burn' as a page to FILE", false, "", "FILE",
+        cmd);
+    const TCLAP::UnlabeledMultiArg<std::string> words(
+        "command", "Query or command", true, "COMMAND", cmd);
+    cmd.parse(argc, argv);
+    auto id = command_id.getValue();
+    if (id.empty()) {
+        id = to_string(boost::uuids::random_generator()());
+    }
+    return {
+        read_endpoint(instance.getValue()),
+        {first_line(read_whole(token_file.getValue())), author.getValue(), id},
+        json.getValue(),
+        wait.getValue(),
+        std::chrono::seconds(wait_seconds.getValue()),
+        html.getValue(),
+        words.getValue()};
+}
+
+} // namespace pollenreel::cli
--- a/pollenreel/control/safety.cpp
+++ b/pollenreel/control/safety.cpp
@@ -14,7 +14,6 @@
 using declarations::configuration;
 using declarations::document;
 using declarations::service;
-using declarations::shift;
 
 constexpr double hundred = 100;
 // Planned loads are fractions of slots; less than this is no overload.
