Record latencies by Boost.Accumulators in buckets that merge exactly

Cause: counters without service, kind, region or latency, as hand-made text. Change: metrics library: a log-bucket statistic in a Boost accumulator set for each series and traffic thread; merged on request; /metrics from one writer.

--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -4,6 +4,7 @@
 #include "pollenreel/control/core.hpp"
 #include "pollenreel/http/server.hpp"
 #include "pollenreel/lookup/table.hpp"
+#include "pollenreel/node/metrics_text.hpp"
 #include "pollenreel/node/operator_interface.hpp"
 #include "pollenreel/peer/transport.hpp"
 #include "pollenreel/store/etcd_client.hpp"
@@ -38,42 +39,6 @@
             s.store.key_prefix + "/configuration"};
 }
 
-std::string metrics_text(const std::vector<traffic_thread*>& traffic,
-                         const peer::transport_counters& peers,
-                         base::config_version version) {
-    traffic_counters sum;
-    for (const auto* t : traffic) {
-        const auto c = t->counters();
-        sum.lookups += c.lookups;
-        sum.malformed += c.malformed;
-        sum.requests_in_flight += c.requests_in_flight;
-        sum.requests.requests += c.requests.requests;
-        sum.requests.forwarded += c.requests.forwarded;
-        sum.requests.refused_not_run += c.requests.refused_not_run;
-        sum.requests.refused_unknown += c.requests.refused_unknown;
-        sum.requests.attempts += c.requests.attempts;
-    }
-    return fmt::format(
-        "pollenreel_lookups_total {}\n"
-        "pollenreel_requests_total {}\n"
-        "pollenreel_requests_forwarded_total {}\n"
-        "pollenreel_requests_refused_total{{outcome=\"not-run\"}} {}\n"
-        "pollenreel_requests_refused_total{{outcome=\"unknown\"}} {}\n"
-        "pollenreel_attempts_total {}\n"
-        "pollenreel_requests_in_flight {}\n"
-        "pollenreel_malformed_messages_total{{listener=\"callers\"}} {}\n"
-        "pollenreel_malformed_messages_total{{listener=\"peers\"}} {}\n"
-        "pollenreel_peer_sent_bytes_total {}\n"
-        "pollenreel_peer_received_bytes_total {}\n"
-        "pollenreel_peer_dropped_messages_total {}\n"
-        "pollenreel_configuration_version {}\n",
-        sum.lookups, sum.requests.requests, sum.requests.forwarded,
-        sum.requests.refused_not_run, sum.requests.refused_unknown,
-        sum.requests.attempts, sum.requests_in_flight, sum.malformed,
-        peers.malformed, peers.bytes_sent, peers.bytes_received, peers.dropped,
-        version.value());
-}
-
 } // namespace
 
 class control_thread::loop {
--- a/pollenreel/node/traffic_thread.cpp
+++ b/pollenreel/node/traffic_thread.cpp
@@ -6,6 +6,7 @@
 #include "pollenreel/node/caller_interface.hpp"
 #include "pollenreel/node/headers.hpp"
 #include "pollenreel/node/target_pool.hpp"
+#include "pollenreel/node/traffic_metrics.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -63,6 +64,7 @@
     void publish(routing::snapshot_ptr s) {
         boost::asio::post(m_io, [this, s = std::move(s)] {
             m_table.emplace(s);
+            m_metrics.use(s);
             handle(request::snapshot_changed{s});
         });
     }
@@ -80,6 +82,8 @@
         }
     }
 
+    metrics::readings readings() const { return m_metrics.read(); }
+
     traffic_counters counters() const {
         const std::lock_guard guard(m_counters_mutex);
         return m_counters;
@@ -118,6 +122,7 @@
                                             m_options.request_id_prefix + "." +
                                                 std::to_string(id.value()),
                                             std::move(answer)};
+                           m_metrics.arrived(c.arrival, m_clock.now());
                            handle(c.arrival);
                        },
                        [&](const health_call&) {
@@ -153,6 +158,7 @@
 
     void run(const request::open_attempt& e) {
         m_targets.open(e, m_clock.now());
+        m_metrics.opened(e);
         m_request_of[e.attempt] = e.request;
     }
 
@@ -171,10 +177,12 @@
     void run(const request::forward_answer& e) {
         auto answer = to_caller(m_targets.take_answer(e.attempt));
         m_request_of.erase(e.attempt);
+        m_metrics.answered(e.request, e.attempt, answer.status, m_clock.now());
         reply(e.request, std::move(answer));
     }
 
     void run(const request::refuse_request& e) {
+        m_metrics.refused(e.request, e.refusal.outcome, m_clock.now());
         reply(e.request, refusal_answer(e.refusal));
     }
 
@@ -227,6 +235,7 @@
     boost::asio::steady_timer m_housekeeping;
     http::server m_server;
     target_pool m_targets;
+    traffic_metrics m_metrics;
     std::optional<lookup::table> m_table;
     boost::unordered_flat_map<base::request_id, waiting> m_waiting;
     boost::unordered_flat_map<base::attempt_id, base::request_id> m_request_of;
@@ -264,6 +273,10 @@
     return m_loop->counters();
 }
 
+metrics::readings traffic_thread::readings() const {
+    return m_loop->readings();
+}
+
 void traffic_thread::join() {
     m_loop->join();
 }
--- a/pollenreel/node/traffic_thread.hpp
+++ b/pollenreel/node/traffic_thread.hpp
@@ -5,6 +5,7 @@
 
 #include "pollenreel/base/clock.hpp"
 #include "pollenreel/log/logger.hpp"
+#include "pollenreel/metrics/recorder.hpp"
 #include "pollenreel/request/core.hpp"
 #include "pollenreel/settings/settings.hpp"
 
@@ -45,6 +46,7 @@
     // Stops listening; requests under way are answered; then the thread ends.
     void stop();
     [[nodiscard]] traffic_counters counters() const;
+    [[nodiscard]] metrics::readings readings() const;
 
     void join();
 
