--- a/pollenreel/control/answers.cpp
+++ b/pollenreel/control/answers.cpp
@@ -8,6 +8,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <fmt/chrono.h>
 
 namespace pollenreel::control {
 
@@ -34,6 +35,12 @@
             {"current", m.applied >= current}};
 }
 
+// "2026-03-01 07:30:12Z".
+std::string utc_text(std::chrono::sys_time<std::chrono::milliseconds> at) {
+    return fmt::format("{:%F %T}Z",
+                       std::chrono::floor<std::chrono::seconds>(at));
+}
+
 answer_operator ok(call_id call, const json::object& body) {
     return {call, answer_status::ok, json::serialize(body)};
 }
@@ -52,12 +59,17 @@
     return std::visit(
         base::overloaded{
             [&](const accepted& a) {
-                return reply(answer_status::ok,
-                             {{"outcome", "accepted"},
-                              {"version", a.configuration.version.value()},
-                              {"summary", a.configuration.summary}});
+                return reply(answer_status::ok, {{"outcome", "accepted"},
+                                                 {"version", a.version.value()},
+                                                 {"summary", a.summary}});
             },
             [&](const refused& r) {
+                if (r.holds_in) {
+                    return reply(answer_status::ok,
+                                 {{"outcome", "unchanged"},
+                                  {"version", r.holds_in->value()},
+                                  {"why", r.why}});
+                }
                 return reply(answer_status::refused,
                              {{"outcome", "refused"}, {"why", r.why}});
             },
@@ -74,11 +86,6 @@
                               {"why", "the store did not answer; ask again "
                                       "with the same command id"}});
             },
-            [&](const unchanged& u) {
-                return reply(answer_status::ok, {{"outcome", "unchanged"},
-                                                 {"version", u.version.value()},
-                                                 {"why", u.why}});
-            },
         },
         v);
 }
@@ -115,35 +122,12 @@
 answer_operator history_answer(call_id call,
                                const declarations::configuration& current) {
     json::array changes;
-    if (current.version.value() > 0) {
-        changes.emplace_back(json::object{{"version", current.version.value()},
-                                          {"author", current.author},
-                                          {"command_id", current.command.str()},
-                                          {"summary", current.summary}});
-    }
-    return ok(call,
-              {{"version", current.version.value()}, {"changes", changes}});
-}
-
-answer_operator plan_answer(call_id call,
-                            const declarations::document& proposed,
-                            const declarations::configuration& current) {
-    auto changed = current;
-    changed.declared = proposed;
-    json::array differences;
-    for (const auto& d : declarations::difference(current.declared, proposed)) {
-        differences.emplace_back(declarations::to_text(d));
-    }
-    json::array against;
-    for (const auto& why : objections(current, changed)) {
-        against.emplace_back(why);
-    }
-    json::array loads;
-    for (const auto& l : planned_loads(current, changed)) {
-        loads.emplace_back(json::object{{"service", l.service.str()},
-                                        {"region", l.region.str()},
-                                        {"slots", l.slots},
-                                        {"planned_busy_slots", l.load}});
+    for (auto r = current.recent.rbegin(); r != current.recent.rend(); ++r) {
+        changes.emplace_back(json::object{{"version", r->version.value()},
+                                          {"at", utc_text(r->at)},
+                                          {"author", r->author},
+                                          {"command_id", r->command.str()},
+                                          {"summary", r->summary}});
     }
     return ok(call, {{"version", current.version.value()},
                      {"differences", differences},
--- a/pollenreel/declarations/codec.cpp
+++ b/pollenreel/declarations/codec.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint64_t longest_deadline_ms = 24ULL * 3600 * 1000;
 constexpr std::uint64_t lowest_priority = 9;
 constexpr std::uint64_t most_good_per_million = 999'999;
+constexpr std::uint64_t most_waiting = 100'000;
+constexpr std::uint64_t longest_slow_start_ms = 600'000;
 
 // Names seen so far; tells when one is declared twice or never was.
 template <class Id>
@@ -110,9 +112,18 @@
         static_cast<std::uint32_t>(r.at("busy_slots").number(0, most_slots))};
 }
 
+// Reads an optional number; absent, `into` keeps its default.
+void read_number(const json_reader& r, std::string_view key,
+                 std::uint64_t least, std::uint64_t most, std::uint32_t& into) {
+    if (r.has(key)) {
+        into = static_cast<std::uint32_t>(r.at(key).number(least, most));
+    }
+}
+
 kind read_kind(const json_reader& r, name_set<base::kind_id>& kinds) {
     r.allow_keys({"id", "methods", "idempotent", "deadline_ms", "priority",
-                  "objective"});
+                  "long_running", "hedge_percentile", "hedge_budget_percent",
+                  "retry_budget_percent", "objective"});
     kind read;
     read.id = kinds.declare(r.at("id"));
     r.at("methods").each(
@@ -125,6 +136,12 @@
     if (r.has("objective")) {
         read.objective = read_objective(r.at("objective"));
     }
+    if (r.has("long_running")) {
+        read.long_running = r.at("long_running").boolean();
+    }
+    read_number(r, "hedge_percentile", 0, 99, read.hedge_percentile);
+    read_number(r, "hedge_budget_percent", 0, 100, read.hedge_budget_percent);
+    read_number(r, "retry_budget_percent", 0, 100, read.retry_budget_percent);
     return read;
 }
 
@@ -145,7 +162,8 @@
 
 service read_service(const json_reader& r, declared_names& names) {
     r.allow_keys({"id", "max_connections_per_target", "kinds", "targets",
-                  "planned_load"});
+                  "long_running_percent", "queue_limit", "in_flight_percent",
+                  "slow_start_ms", "planned_load"});
     service read;
     read.id = names.services.declare(r.at("id"));
     read.max_connections_per_target = static_cast<std::uint32_t>(
@@ -166,6 +184,13 @@
             read.planned_load.push_back(read_planned_load(p, names, planned));
         });
     }
+    read_number(r, "long_running_percent", 1, 100, read.long_running_percent);
+    read_number(r, "queue_limit", 0, most_waiting, read.queue_limit);
+    read_number(r, "in_flight_percent", 100, 10'000, read.in_flight_percent);
+    if (r.has("slow_start_ms")) {
+        read.slow_start = std::chrono::milliseconds(
+            r.at("slow_start_ms").number(0, longest_slow_start_ms));
+    }
     return read;
 }
 
@@ -218,7 +243,11 @@
                       {"methods", methods},
                       {"idempotent", k.idempotent},
                       {"deadline_ms", k.deadline.count()},
-                      {"priority", k.priority}};
+                      {"priority", k.priority},
+                      {"long_running", k.long_running},
+                      {"hedge_percentile", k.hedge_percentile},
+                      {"hedge_budget_percent", k.hedge_budget_percent},
+                      {"retry_budget_percent", k.retry_budget_percent}};
     if (k.objective != objective{}) {
         json["objective"] = to_json(k.objective);
     }
@@ -245,7 +274,11 @@
         {"id", s.id.str()},
         {"max_connections_per_target", s.max_connections_per_target},
         {"kinds", kinds},
-        {"targets", targets}};
+        {"targets", targets},
+        {"long_running_percent", s.long_running_percent},
+        {"queue_limit", s.queue_limit},
+        {"in_flight_percent", s.in_flight_percent},
+        {"slow_start_ms", s.slow_start.count()}};
     if (!s.planned_load.empty()) {
         json::array planned;
         for (const auto& p : s.planned_load) {
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -92,7 +92,8 @@
                 [&](const service_levels_call&) {
                     answer({200, {{"Content-Type", "application/json"}}, "{}"});
                 },
-                [&](const auto& event) {
+                [&](auto event) {
+                    stamp(event);
                     m_calls.emplace(m_last_call, std::move(answer));
                     handle(event);
                 },
@@ -100,6 +101,13 @@
             read_operator_call(r, m_last_call, m_token));
     }
 
+    void stamp(control::change_received& e) const {
+        using std::chrono::milliseconds;
+        e.change.at = std::chrono::floor<milliseconds>(m_clock.wall_now());
+    }
+    void stamp(const control::query_received&) const {}
+    void stamp(const control::plan_received&) const {}
+
     void handle(const control::event& e) {
         for (const auto& effect : m_core.handle(e, m_clock.now())) {
             std::visit([&](const auto& one) { run(one); }, effect);
@@ -107,8 +115,8 @@
     }
 
     void run(const control::call_store& e) {
-        m_store.call(e.request, [this, user = e.user](store::reply r) {
-            handle(control::store_replied{user, std::move(r)});
+        m_store.call(e.request, [this, user = e.user](const store::reply& r) {
+            handle(control::store_replied{user, r});
         });
     }
 
--- a/pollenreel/node/traffic_thread.cpp
+++ b/pollenreel/node/traffic_thread.cpp
@@ -18,6 +18,9 @@
 #include <optional>
 #include <thread>
 
+#include <pthread.h>
+#include <time.h>
+
 namespace pollenreel::node {
 
 namespace {
@@ -45,7 +48,8 @@
 public:
     loop(traffic_options options, const base::clock& clock, log::logger log)
         : m_options(std::move(options)), m_clock(clock), m_log(std::move(log)),
-          m_core(m_options.seed), m_wakeup(m_io), m_housekeeping(m_io),
+          m_core({.seed = m_options.seed}), m_wakeup(m_io),
+          m_housekeeping(m_io),
           m_server(m_io, server_options(m_options.settings),
                    [this](http::request r, http::responder answer) {
                        on_request(std::move(r), std::move(answer));
@@ -83,6 +87,16 @@
     }
 
     metrics::readings readings() const { return m_metrics.read(); }
+    [[nodiscard]] std::chrono::nanoseconds processor_time() {
+        clockid_t id{};
+        timespec used{};
+        if (::pthread_getcpuclockid(m_thread.native_handle(), &id) != 0 ||
+            ::clock_gettime(id, &used) != 0) {
+            return std::chrono::nanoseconds(0);
+        }
+        return std::chrono::seconds(used.tv_sec) +
+               std::chrono::nanoseconds(used.tv_nsec);
+    }
 
     traffic_counters counters() const {
         const std::lock_guard guard(m_counters_mutex);
@@ -196,8 +210,10 @@
     }
 
     void arm_wakeup() {
+        // A timer that is due too early is left: it costs one empty tick, where
+        // moving it would cost a system call with each request.
         const auto next = m_core.next_wakeup();
-        if (!next || next == m_armed) {
+        if (!next || (m_armed && *m_armed <= *next)) {
             return;
         }
         m_armed = next;
@@ -277,6 +293,10 @@
     return m_loop->readings();
 }
 
+std::chrono::nanoseconds traffic_thread::processor_time() const {
+    return m_loop->processor_time();
+}
+
 void traffic_thread::join() {
     m_loop->join();
 }
--- a/pollenreel/node/traffic_thread.hpp
+++ b/pollenreel/node/traffic_thread.hpp
@@ -9,6 +9,7 @@
 #include "pollenreel/request/core.hpp"
 #include "pollenreel/settings/settings.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -49,6 +50,8 @@
     [[nodiscard]] metrics::readings readings() const;
 
     void join();
+    // Processor time that the thread has used; from any thread while it runs.
+    [[nodiscard]] std::chrono::nanoseconds processor_time() const;
 
 private:
     class loop;
