--- a/pollenreel/control/answers.cpp
+++ b/pollenreel/control/answers.cpp
@@ -129,6 +129,30 @@
                                           {"command_id", r->command.str()},
                                           {"summary", r->summary}});
     }
+    return ok(call,
+              {{"version", current.version.value()}, {"changes", changes}});
+}
+
+answer_operator plan_answer(call_id call,
+                            const declarations::document& proposed,
+                            const declarations::configuration& current) {
+    auto changed = current;
+    changed.declared = proposed;
+    json::array differences;
+    for (const auto& d : declarations::difference(current.declared, proposed)) {
+        differences.emplace_back(declarations::to_text(d));
+    }
+    json::array against;
+    for (const auto& why : objections(current, changed)) {
+        against.emplace_back(why);
+    }
+    json::array loads;
+    for (const auto& l : planned_loads(current, changed)) {
+        loads.emplace_back(json::object{{"service", l.service.str()},
+                                        {"region", l.region.str()},
+                                        {"slots", l.slots},
+                                        {"planned_busy_slots", l.load}});
+    }
     return ok(call, {{"version", current.version.value()},
                      {"differences", differences},
                      {"objections", against},
--- a/pollenreel/declarations/difference.cpp
+++ b/pollenreel/declarations/difference.cpp
@@ -20,6 +20,22 @@
     return v.is_string() ? std::string(v.get_string()) : json::serialize(v);
 }
 
+// Longer values are shown with their lists counted, not spelt out.
+constexpr std::size_t longest_value = 160;
+
+std::string brief(const json::value& v) {
+    const auto* o = v.if_object();
+    if (o == nullptr || json::serialize(v).size() <= longest_value) {
+        return text_of(v);
+    }
+    json::object counted;
+    for (const auto& [key, value] : *o) {
+        const auto* list = value.if_array();
+        counted[key] = list == nullptr ? value : json::value(list->size());
+    }
+    return json::serialize(counted);
+}
+
 // What tells an element of a list from its neighbours.
 std::string identity(const json::value& element) {
     const auto* o = element.if_object();
@@ -71,14 +87,13 @@
     for (const auto& [key, value] : old_children) {
         if (!new_by_key.contains(key)) {
             out.push_back(
-                {change_kind::removed, path + key, text_of(*value), ""});
+                {change_kind::removed, path + key, brief(*value), ""});
         }
     }
     for (const auto& [key, value] : new_children) {
         const auto found = old_by_key.find(key);
         if (found == old_by_key.end()) {
-            out.push_back(
-                {change_kind::added, path + key, "", text_of(*value)});
+            out.push_back({change_kind::added, path + key, "", brief(*value)});
         } else {
             compare(path + key, *found->second, *value, out);
         }
--- a/pollenreel/declarations/difference_test.cpp
+++ b/pollenreel/declarations/difference_test.cpp
@@ -70,6 +70,13 @@
              d.client_blocks[0].failure_domain = base::failure_domain_id("s-a");
          },
          {"~ client_blocks/10.0.0.0/16/failure_domain: n-a -> s-a"}},
+        {"a service of many targets, counted",
+         [](document& d) {
+             d.services.push_back(d.services[0]);
+             d.services[1].id = base::service_id("big");
+         },
+         {R"(+ services/big: {"id":"big","max_connections_per_target":10,)"
+          R"("kinds":1,"targets":2)"}},
         {"a kind's idempotence",
          [](document& d) { d.services[0].kinds[0].idempotent = false; },
          {"~ services/web/kinds/read/idempotent: true -> false"}},
