Coordinate shares, load and steps of shifts on one instance

Cause: the parts need one owner between control core and traffic threads; and the store's newer replies must not reach the holder unhandled. Change: shift::coordinator asks for shares, collects load, takes a shift's steps while it holds the region's lease and publishes allowances; the holder reads again after a reply of another kind.

--- a/pollenreel/share/holder.cpp
+++ b/pollenreel/share/holder.cpp
@@ -147,6 +147,11 @@
     m_check = true;
 }
 
+template <class Other>
+void holder::on(const Other&, base::time_point) {
+    m_check = true; // no answer to what was asked
+}
+
 void holder::see(const std::optional<store::entry>& e, base::time_point now) {
     const auto record = e ? decode_record(m_region, e->value) : std::nullopt;
     if (record && record->holder == m_self && !record->released) {
--- a/pollenreel/share/holder.hpp
+++ b/pollenreel/share/holder.hpp
@@ -74,6 +74,8 @@
     void on(const store::conflicting& r, base::time_point now);
     void on(const store::unreachable& r, base::time_point now);
     void on(const store::unanswered& r, base::time_point now);
+    template <class Other>
+    void on(const Other& r, base::time_point now);
     void see(const std::optional<store::entry>& e, base::time_point now);
     // The stored record is `r`, this instance's own.
     void adopt(const lease_record& r, store::revision at, base::time_point now);
--- /dev/null
+++ b/pollenreel/shift/coordinator.cpp
@@ -0,0 +1,261 @@
+#include "pollenreel/shift/coordinator.hpp"
+
+#include "pollenreel/share/terms.hpp"
+
+#include <algorithm>
+
+namespace pollenreel::shift {
+
+namespace {
+
+using share::parts;
+
+// Reports of this entry that a summary may still rest on.
+constexpr std::size_t reports_remembered = 3;
+
+std::string lease_key(const coordinator_options& o) {
+    return o.key_prefix + "/shares/" + o.region.str();
+}
+
+bool due(std::optional<base::time_point>& last, base::duration period,
+         base::time_point now) {
+    if (last && now - *last < period) {
+        return false;
+    }
+    last = now;
+    return true;
+}
+
+} // namespace
+
+coordinator::coordinator(coordinator_options o)
+    : m_options(std::move(o)), m_holder(m_options.region, lease_key(m_options),
+                                        m_options.self, share::leased_pool),
+      m_claimant(m_options.self, m_options.address, parts{}) {}
+
+void coordinator::set_configuration(const declarations::configuration& c) {
+    m_configuration = c;
+    m_claimant.set_floor(share::floor_share(c.declared.fleet_instances));
+    want_shares();
+}
+
+void coordinator::set_members(std::vector<member> live) {
+    std::sort(live.begin(), live.end(), [](const auto& a, const auto& b) {
+        return a.instance < b.instance;
+    });
+    m_members = std::move(live);
+}
+
+void coordinator::leave() {
+    m_leaving = true;
+    want_shares();
+    m_holder.release();
+}
+
+void coordinator::want_shares() {
+    const auto amount = m_leaving ? parts{} : share::whole;
+    for (const auto& l : m_configuration.declared.links) {
+        const auto& own = m_options.region;
+        if (l.first == own || l.second == own) {
+            const auto& other = l.first == own ? l.second : l.first;
+            m_claimant.want(share::region_pair(own, other), amount);
+        }
+    }
+    for (const auto& l : m_configuration.commanded.limits) {
+        m_claimant.want(share::service_limit(l.service, l.region), amount);
+    }
+}
+
+void coordinator::on_traffic(const traffic_report& r) {
+    for (const auto& [p, use] : r) {
+        auto& own = m_own[p];
+        own.in_flight_sum += use.in_flight;
+        ++own.samples;
+        own.started += use.started;
+        own.held_back += use.held_back;
+        own.in_flight = use.in_flight;
+    }
+}
+
+effects coordinator::tick(base::time_point now) {
+    effects out;
+    take_steps(now);
+    if (auto call = m_holder.tick(now, is_collector())) {
+        out.emplace_back(std::move(*call));
+    }
+    ask_for_shares(now, out);
+    if (due(m_last_report, report_period, now)) {
+        report_load(now, out);
+        spread_summary(now, out);
+    }
+    publish(now, out);
+    return out;
+}
+
+void coordinator::on_reply(const store::reply& r, base::time_point now) {
+    m_holder.on_reply(r, now);
+}
+
+effects coordinator::on_message(const message& m, base::time_point now) {
+    effects out;
+    std::visit([&](const auto& one) { on(one, now, out); }, m);
+    return out;
+}
+
+void coordinator::on(const share::ask& m, base::time_point now, effects& out) {
+    if (auto g = m_holder.on_ask(m, now)) {
+        out.emplace_back(send{m.reply_to, std::move(*g)});
+    }
+}
+
+void coordinator::on(const share::grant& m, base::time_point now,
+                     effects& out) {
+    m_claimant.on_grant(m, now);
+    if (m.owner == m_options.region && m.claimant == m_options.self) {
+        m_progress = m.progress;
+        m_heard_holder = now;
+    }
+    publish(now, out);
+}
+
+void coordinator::on(const load_report& m, base::time_point now, effects&) {
+    m_loads.on_report(m, now);
+}
+
+void coordinator::on(const load_summary& m, base::time_point now, effects&) {
+    m_loads.on_summary(m, now);
+    update_rooms(now);
+}
+
+std::vector<member>
+coordinator::collectors_of(const base::region_id& region) const {
+    std::vector<member> found;
+    for (const auto& m : m_members) {
+        if (m.region == region && found.size() < collectors_per_region) {
+            found.push_back(m);
+        }
+    }
+    return found;
+}
+
+bool coordinator::is_collector() const {
+    const auto all = collectors_of(m_options.region);
+    return std::any_of(all.begin(), all.end(), [&](const auto& m) {
+        return m.instance == m_options.self.instance;
+    });
+}
+
+void coordinator::ask_for_shares(base::time_point now, effects& out) {
+    for (const auto& owner : m_claimant.owners()) {
+        const auto to = collectors_of(owner);
+        auto ask = to.empty() ? std::nullopt : m_claimant.next_ask(owner, now);
+        if (!ask) {
+            continue;
+        }
+        // Any of the collectors may hold the lease; only the holder answers.
+        for (const auto& m : to) {
+            out.emplace_back(send{m.address, *ask});
+        }
+    }
+}
+
+void coordinator::report_load(base::time_point, effects& out) {
+    load_report r{m_options.self.instance, {}};
+    for (auto& [p, own] : m_own) {
+        const double mean =
+            own.samples == 0 ? 0 : own.in_flight_sum / own.samples;
+        r.at[p] = {mean, own.started, own.held_back};
+        own.reported.push_back(mean);
+        if (own.reported.size() > reports_remembered) {
+            own.reported.pop_front();
+        }
+        own.in_flight_sum = 0;
+        own.samples = 0;
+        own.started = 0;
+        own.held_back = 0;
+    }
+    for (const auto& m : collectors_of(m_options.region)) {
+        out.emplace_back(send{m.address, r});
+    }
+}
+
+void coordinator::spread_summary(base::time_point now, effects& out) {
+    const auto collectors = collectors_of(m_options.region);
+    if (collectors.empty() ||
+        collectors.front().instance != m_options.self.instance) {
+        return;
+    }
+    const auto own = m_loads.summary(m_options.region, now);
+    std::set<base::region_id> others;
+    for (const auto& m : m_members) {
+        if (m.region == m_options.region) {
+            out.emplace_back(send{m.address, own});
+        } else {
+            others.insert(m.region);
+        }
+    }
+    for (const auto& region : others) {
+        for (const auto& m : collectors_of(region)) {
+            out.emplace_back(send{m.address, own});
+        }
+    }
+    // What other regions said, for this region's other entries.
+    for (const auto& summary : m_loads.received_within(report_period, now)) {
+        if (summary.region == m_options.region) {
+            continue;
+        }
+        for (const auto& m : m_members) {
+            const bool has_it = m.instance == m_options.self.instance;
+            if (m.region == m_options.region && !has_it) {
+                out.emplace_back(send{m.address, summary});
+            }
+        }
+    }
+}
+
+double coordinator::slots_at(const place& p) const {
+    const auto& commanded = m_configuration.commanded;
+    std::set<base::failure_domain_id> domains;
+    for (const auto& r : m_configuration.declared.regions) {
+        if (r.id == p.second) {
+            domains.insert(r.failure_domains.begin(), r.failure_domains.end());
+        }
+    }
+    double sum = 0;
+    for (const auto& s : m_configuration.declared.services) {
+        for (const auto& t : s.targets) {
+            const bool usable =
+                s.id == p.first && domains.contains(t.failure_domain) &&
+                !commanded.drained_targets.contains(t.id) &&
+                !commanded.drained_domains.contains(t.failure_domain);
+            sum += usable ? t.slots : 0;
+        }
+    }
+    return sum;
+}
+
+void coordinator::update_rooms(base::time_point now) {
+    const auto own = m_loads.entries_of(m_options.region);
+    for (const auto& s : m_configuration.declared.services) {
+        for (const auto& r : m_configuration.declared.regions) {
+            const place p{s.id, r.id};
+            // Without its own region's word there is no telling its load.
+            if (r.id == m_options.region || !m_loads.age(r.id, now)) {
+                continue;
+            }
+            const auto& reported = m_own[p].reported;
+            const double mine =
+                reported.empty()
+                    ? 0
+                    : *std::min_element(reported.begin(), reported.end());
+            // A second region may be failing too, unseen as yet.
+            const auto failing =
+                1 + std::max(1U, m_loads.others_at(p, m_options.region));
+            m_rooms[p].on_report({slots_at(p), m_loads.used(p), mine,
+                                  std::max(1U, own) * failing},
+                                 now);
+        }
+    }
+}
+
+} // namespace pollenreel::shift
--- /dev/null
+++ b/pollenreel/shift/coordinator.hpp
@@ -0,0 +1,140 @@
+// One instance's part in keeping caps, limits and headroom together with its
+// peers: it asks for shares, may be its region's share-holder and collector of
+// load, takes the steps of shifts while it holds the lease, and says what the
+// traffic threads may send. Pure: messages and time go in, effects come out.
+//
+//   shift::coordinator c({self, khomas, address, "/pollenreel"});
+//   c.set_configuration(configuration);
+//   c.set_members(members);
+//   for (auto& e : c.tick(now)) run(e);
+#pragma once
+
+#include "pollenreel/base/endpoint.hpp"
+#include "pollenreel/declarations/configuration.hpp"
+#include "pollenreel/share/claimant.hpp"
+#include "pollenreel/share/holder.hpp"
+#include "pollenreel/shift/headroom.hpp"
+#include "pollenreel/shift/load_book.hpp"
+#include "pollenreel/shift/plan.hpp"
+#include "pollenreel/shift/spender.hpp"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace pollenreel::shift {
+
+// Instances of a region that may hold its lease and collect its load: those
+// with the lowest names that are alive. More outlive more deaths at once, and
+// cost more reads of the store.
+constexpr std::size_t collectors_per_region = 2;
+
+struct member {
+    base::instance_id instance;
+    base::region_id region;
+    base::endpoint address;
+
+    friend bool operator==(const member&, const member&) = default;
+};
+
+struct coordinator_options {
+    share::claimant_id self;
+    base::region_id region;
+    base::endpoint address;
+    std::string key_prefix;    // of the regions' leases in the store
+    std::uint32_t threads = 1; // that allowances are split over
+};
+
+using message =
+    std::variant<share::ask, share::grant, load_report, load_summary>;
+struct send {
+    base::endpoint to;
+    shift::message message;
+};
+// Effects.
+using effect = std::variant<store::request, send, allowances_ptr>;
+using effects = std::vector<effect>;
+
+class coordinator {
+public:
+    explicit coordinator(coordinator_options o);
+
+    // Takes effect with the next tick.
+    void set_configuration(const declarations::configuration& c);
+    // Live instances, this one among them.
+    void set_members(std::vector<member> live);
+    // What one traffic thread did since its previous report.
+    void on_traffic(const traffic_report& r);
+
+    // Every 100 ms.
+    [[nodiscard]] effects tick(base::time_point now);
+    // The answer to the latest store request.
+    void on_reply(const store::reply& r, base::time_point now);
+    [[nodiscard]] effects on_message(const message& m, base::time_point now);
+    // Gives back shares and lease with the next ticks.
+    void leave();
+
+    // Of the shifts from this instance's region.
+    [[nodiscard]] std::vector<progress> shifts(base::time_point now) const;
+    [[nodiscard]] bool holds(base::time_point now) const {
+        return m_holder.holds(now);
+    }
+
+private:
+    struct trail { // of one shift, on the instance that takes its steps
+        std::deque<std::pair<base::time_point, share::parts>> moved;
+        hold why = hold::none;
+    };
+    struct own_use { // of one place, since the latest report
+        double in_flight_sum = 0;
+        std::uint32_t samples = 0;
+        std::uint64_t started = 0;
+        std::uint64_t held_back = 0;
+        std::uint32_t in_flight = 0; // latest
+        std::deque<double> reported;
+    };
+
+    void on(const share::ask& m, base::time_point now, effects& out);
+    void on(const share::grant& m, base::time_point now, effects& out);
+    void on(const load_report& m, base::time_point now, effects& out);
+    void on(const load_summary& m, base::time_point now, effects& out);
+
+    void want_shares();
+    void ask_for_shares(base::time_point now, effects& out);
+    void report_load(base::time_point now, effects& out);
+    void spread_summary(base::time_point now, effects& out);
+    void take_steps(base::time_point now);
+    [[nodiscard]] step_input input_for(const declarations::shift& s,
+                                       const trail& t,
+                                       base::time_point now) const;
+    void update_rooms(base::time_point now);
+    void publish(base::time_point now, effects& out);
+    [[nodiscard]] usable_rate rate(std::uint64_t cap, const share::resource& r,
+                                   base::time_point now) const;
+    [[nodiscard]] allowances current(base::time_point now) const;
+    [[nodiscard]] std::vector<member>
+    collectors_of(const base::region_id& region) const;
+    [[nodiscard]] bool is_collector() const;
+    [[nodiscard]] double slots_at(const place& p) const;
+
+    coordinator_options m_options;
+    declarations::configuration m_configuration;
+    std::vector<member> m_members;
+    share::holder m_holder;
+    share::claimant m_claimant;
+    load_book m_loads;
+    std::map<place, own_use> m_own;
+    std::map<place, room> m_rooms;
+    std::map<base::shift_id, trail> m_trails;
+    // As last told by the holder.
+    std::map<base::shift_id, share::parts> m_progress;
+    std::optional<base::time_point> m_last_report;
+    std::optional<base::time_point> m_last_step;
+    std::optional<base::time_point> m_heard_holder;
+    allowances m_published;
+    bool m_leaving = false;
+};
+
+} // namespace pollenreel::shift
--- /dev/null
+++ b/pollenreel/shift/coordinator_steps.cpp
@@ -0,0 +1,152 @@
+// The coordinator's steps of shifts, and what it publishes to traffic threads.
+#include "pollenreel/share/terms.hpp"
+#include "pollenreel/shift/coordinator.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pollenreel::shift {
+
+namespace {
+
+using share::parts;
+
+constexpr std::uint64_t bytes_per_megabit = 125'000;
+// Entries at both ends of a link use it; each end has half of it.
+constexpr std::uint64_t ends_of_link = 2;
+constexpr std::chrono::seconds step_period = share::lease_renewal;
+
+parts part_of(const std::map<base::shift_id, parts>& all,
+              const base::shift_id& id) {
+    const auto found = all.find(id);
+    return found == all.end() ? parts{} : found->second;
+}
+
+} // namespace
+
+void coordinator::take_steps(base::time_point now) {
+    if (!m_holder.holds(now)) {
+        m_last_step.reset();
+        m_trails.clear();
+        return;
+    }
+    if (!m_last_step) {
+        m_last_step = now;
+    }
+    const auto since = now - *m_last_step;
+    if (since < step_period) {
+        return;
+    }
+    m_last_step = now;
+    std::map<base::shift_id, parts> next;
+    for (const auto& s : m_configuration.commanded.shifts) {
+        if (s.from != m_options.region) {
+            continue;
+        }
+        auto& t = m_trails[s.id];
+        t.moved.emplace_back(now, part_of(m_holder.progress(), s.id));
+        while (t.moved.size() > 1 && now - t.moved[1].first >= cold_period) {
+            t.moved.pop_front();
+        }
+        auto in = input_for(s, t, now);
+        in.since_last_step = since;
+        const auto step = next_step(in);
+        t.why = step.why;
+        next[s.id] = step.moved;
+    }
+    m_holder.set_progress(std::move(next));
+}
+
+step_input coordinator::input_for(const declarations::shift& s, const trail& t,
+                                  base::time_point now) const {
+    const bool back = s.state == declarations::shift_state::reversing;
+    const place to{s.service, back ? s.from : s.to};
+    const auto& own = m_options.region;
+    const auto moved = m_loads.use_of(own, {s.service, s.to});
+    const auto stays = m_loads.use_of(own, {s.service, s.from});
+    step_input in;
+    in.commanded = s;
+    in.moved = t.moved.back().second;
+    const bool old = now - t.moved.front().first >= cold_period;
+    in.moved_before_cold_period = old ? t.moved.front().second : parts{};
+    in.slots_wanted = moved.in_flight + stays.in_flight;
+    const double tried = static_cast<double>(moved.started + moved.held_back);
+    in.held_back =
+        tried == 0 ? 0 : static_cast<double>(moved.held_back) / tried;
+    in.destination = {slots_at(to), m_loads.used(to, own),
+                      m_loads.age(to.second, now)
+                          .value_or(2 * base::duration(oldest_measurement))};
+    return in;
+}
+
+usable_rate coordinator::rate(std::uint64_t cap, const share::resource& r,
+                              base::time_point now) const {
+    const auto s = m_claimant.share_of(r, now);
+    const auto mine = cap / m_options.threads;
+    return {share::scale(mine, s.now), share::scale(mine, s.after), s.until};
+}
+
+allowances coordinator::current(base::time_point now) const {
+    allowances a;
+    for (const auto& l : m_configuration.declared.links) {
+        if (l.first != m_options.region && l.second != m_options.region) {
+            continue;
+        }
+        const auto& to = l.first == m_options.region ? l.second : l.first;
+        a.ways[to] =
+            rate(l.megabits_per_second * bytes_per_megabit / ends_of_link,
+                 share::region_pair(m_options.region, to), now);
+    }
+    for (const auto& s : m_configuration.commanded.shifts) {
+        const auto moved = part_of(m_progress, s.id);
+        if (s.from != m_options.region || moved == parts{}) {
+            continue;
+        }
+        const auto way = a.ways.find(s.to);
+        auto capped = way == a.ways.end() ? usable_rate{} : way->second;
+        if (s.cap_megabits_per_second > 0) {
+            capped = rate(s.cap_megabits_per_second * bytes_per_megabit,
+                          share::region_pair(s.from, s.to), now);
+        }
+        a.moves.push_back({s.id, s.service, s.to, moved, capped});
+    }
+    for (const auto& l : m_configuration.commanded.limits) {
+        a.limits[{l.service, l.region}] =
+            rate(l.requests_per_second,
+                 share::service_limit(l.service, l.region), now);
+    }
+    for (const auto& [p, r] : m_rooms) {
+        const auto most = std::floor(r.allowed(now) / m_options.threads);
+        a.spill[p] = static_cast<std::uint32_t>(most);
+    }
+    return a;
+}
+
+void coordinator::publish(base::time_point now, effects& out) {
+    auto a = current(now);
+    if (a != m_published) {
+        m_published = a;
+        out.emplace_back(std::make_shared<const allowances>(std::move(a)));
+    }
+}
+
+std::vector<progress> coordinator::shifts(base::time_point now) const {
+    std::vector<progress> all;
+    const bool known =
+        m_heard_holder && now - *m_heard_holder <= 3 * share::ask_period;
+    for (const auto& s : m_configuration.commanded.shifts) {
+        if (s.from != m_options.region) {
+            continue;
+        }
+        const auto t = m_trails.find(s.id);
+        auto why = known ? hold::none : hold::no_holder;
+        if (t != m_trails.end()) {
+            why = t->second.why;
+        }
+        all.push_back({s.id, s.service, s.from, s.to, s.percent,
+                       part_of(m_progress, s.id), why});
+    }
+    return all;
+}
+
+} // namespace pollenreel::shift
--- a/pollenreel/shift/headroom.cpp
+++ b/pollenreel/shift/headroom.cpp
@@ -15,9 +15,6 @@
 } // namespace
 
 void room::on_report(const place_load& l, base::time_point now) {
-    if (!m_began) {
-        m_began = now;
-    }
     m_latest = heard{l, now};
 }
 
@@ -34,7 +31,7 @@
     if (now - m_latest->at > oldest_spill_report) {
         return l.mine;
     }
-    return l.mine + part * part_of(now - *m_began, spill_ramp);
+    return l.mine + part;
 }
 
 void returning::observe(bool own_takes_work, base::time_point now) {
--- a/pollenreel/shift/headroom.hpp
+++ b/pollenreel/shift/headroom.hpp
@@ -4,7 +4,8 @@
 // Each entry takes an equal part of the room that the latest report shows,
 // on top of what it had there at the time of that report. So however late
 // reports are, all entries together raise the load by no more than the room
-// once for each report, and what was moved since counts as load.
+// once for each report, and what was moved since counts as load. Cold targets
+// need no ramp: work that takes longer there holds its slot longer.
 //
 //   shift::room r;
 //   r.on_report({slots, used, mine_then, entries}, now);
@@ -21,9 +22,6 @@
 
 // Part of the slots that spilled work may fill a region up to.
 constexpr double most_spill_fill = 0.9;
-// From the first spilled request on, the part of the room that is used grows
-// to the whole within this time, for caches to warm.
-constexpr std::chrono::seconds spill_ramp{10};
 // Without a report for this long, nothing is added.
 constexpr std::chrono::seconds oldest_spill_report{5};
 // How long own targets must take work again before work returns to them, and
@@ -50,7 +48,6 @@
         base::time_point at;
     };
     std::optional<heard> m_latest;
-    std::optional<base::time_point> m_began;
 };
 
 // Whether, and with how much of its work, a region that failed gets its own
--- /dev/null
+++ b/pollenreel/shift/load_book.hpp
@@ -0,0 +1,59 @@
+// Collects load: the reports of a region's entries into one summary, and the
+// summaries of all regions into the load of each place. Pure.
+//
+//   shift::load_book b;
+//   b.on_report(report, now);
+//   auto mine = b.summary(khomas, now);
+//   b.on_summary(from_erongo, now);
+//   auto used = b.used({catalogue, erongo}, now);
+#pragma once
+
+#include "pollenreel/base/clock.hpp"
+#include "pollenreel/shift/messages.hpp"
+
+#include <chrono>
+#include <optional>
+#include <vector>
+
+namespace pollenreel::shift {
+
+// Trades bytes between instances against how late load is known.
+constexpr std::chrono::seconds report_period{2};
+// A report not followed by another is forgotten after this.
+constexpr std::chrono::seconds report_life{10};
+
+class load_book {
+public:
+    void on_report(const load_report& r, base::time_point now);
+    void on_summary(const load_summary& s, base::time_point now);
+
+    [[nodiscard]] load_summary summary(const base::region_id& region,
+                                       base::time_point now) const;
+    // In flight at `p`, from all regions but `without`.
+    [[nodiscard]] double used(const place& p,
+                              const base::region_id& without = {}) const;
+    // What the entries of `region` have at `p`.
+    [[nodiscard]] place_use use_of(const base::region_id& region,
+                                   const place& p) const;
+    [[nodiscard]] std::uint32_t entries_of(const base::region_id& region) const;
+    // The latest summary of each region.
+    [[nodiscard]] std::vector<load_summary>
+    received_within(base::duration d, base::time_point now) const;
+    // How late the summary of `region` is; empty if there never was one.
+    [[nodiscard]] std::optional<base::duration>
+    age(const base::region_id& region, base::time_point now) const;
+    // Regions other than `p`'s and `without` whose entries have work at `p`.
+    [[nodiscard]] std::uint32_t others_at(const place& p,
+                                          const base::region_id& without) const;
+
+private:
+    template <class T>
+    struct heard {
+        T what;
+        base::time_point at;
+    };
+    std::map<base::instance_id, heard<load_report>> m_reports;
+    std::map<base::region_id, heard<load_summary>> m_summaries;
+};
+
+} // namespace pollenreel::shift
--- /dev/null
+++ b/pollenreel/shift/messages.hpp
@@ -0,0 +1,39 @@
+// What instances tell each other of load at places.
+#pragma once
+
+#include "pollenreel/base/ids.hpp"
+#include "pollenreel/shift/allowances.hpp"
+
+#include <cstdint>
+#include <map>
+
+namespace pollenreel::shift {
+
+// What one entry, or a region's entries together, have at a place.
+struct place_use {
+    double in_flight = 0;        // mean of the latest period
+    std::uint64_t started = 0;   // in the latest period
+    std::uint64_t held_back = 0; // in the latest period, by a cap
+
+    friend bool operator==(const place_use&, const place_use&) = default;
+};
+using uses = std::map<place, place_use>;
+
+// An entry's report to its region's collectors.
+struct load_report {
+    base::instance_id instance;
+    uses at;
+
+    friend bool operator==(const load_report&, const load_report&) = default;
+};
+
+// The sum over a region's entries, for everybody.
+struct load_summary {
+    base::region_id region; // of the entries
+    std::uint32_t entries = 0;
+    uses at;
+
+    friend bool operator==(const load_summary&, const load_summary&) = default;
+};
+
+} // namespace pollenreel::shift
--- a/pollenreel/shift/spender.cpp
+++ b/pollenreel/shift/spender.cpp
@@ -86,6 +86,7 @@
         const go there{c.service, region, std::nullopt, true, k};
         if (m_report[p].in_flight >= most) {
             why = refused_for::headroom;
+            ++m_report[p].held_back;
         } else if (!may_cross(there, now)) {
             why = refused_for::cap;
             ++m_report[p].held_back;
