--- a/pollenreel/control/change.hpp
+++ b/pollenreel/control/change.hpp
@@ -27,7 +27,7 @@
     std::chrono::sys_time<std::chrono::milliseconds> at{};
 };
 
-enum class change_error { unknown_name = 1, no_effect };
+enum class change_error { unknown_name = 1, no_effect, unsafe };
 [[nodiscard]] std::error_code make_error_code(change_error e);
 
 // What `c` changes, as declarations::change_record::scope.
@@ -35,7 +35,8 @@
                                    const declarations::configuration& current);
 
 // The configuration after `c`, one version on, with `c` in its history. Fails
-// with unknown_name, or no_effect when `c` would change nothing.
+// with unknown_name, with no_effect when `c` would change nothing, or with
+// unsafe when there are objections (safety.hpp).
 [[nodiscard]] base::result<declarations::configuration>
 apply(const change& c, const declarations::configuration& current);
 
