Keep long-running work to its own slots

Cause: an archive piece takes a slot 50 times as long as a look-up, and entries that do not see each other's use put look-ups behind it.

Change: kinds may be declared long_running. A plan that each instance derives from the configuration and the instance list alone keeps such work to the targets that rank first by rendezvous hashing and deals their slots to the instances. Short and long work have a lane each, with a bounded line at the entry ordered by priority that refuses what would miss its deadline.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -27,6 +27,8 @@
     static const std::vector<entry> all = {
         {"tail", true, "look-up latency while some targets are slowed",
          request::measure_tail},
+        {"short_behind_long", true, "look-up latency beside long work",
+         request::measure_short_behind_long},
     };
     return all;
 }
--- a/pollenreel/declarations/document.hpp
+++ b/pollenreel/declarations/document.hpp
@@ -85,7 +85,7 @@
     // Attempts that the whole fleet has under way, as a share of the slots.
     // Higher keeps slots busier under uneven load, with more waiting at
     // targets, where priority does not count.
-    std::uint32_t in_flight_percent = 300;
+    std::uint32_t in_flight_percent = 200;
     // A target that is new or has returned is given work little by little
     // over this time; 0: at once. Longer spares cold caches and leaves the
     // other targets with more.
--- a/pollenreel/request/choose_target.cpp
+++ b/pollenreel/request/choose_target.cpp
@@ -25,13 +25,15 @@
     return kept.empty() ? from : kept;
 }
 
+bool contains(std::span<const base::target_id> ids, const base::target_id& t) {
+    return std::find(ids.begin(), ids.end(), t) != ids.end();
+}
+
 candidates usable(const routing::service& service,
                   std::span<const base::target_id> tried) {
     candidates kept;
     for (const auto& t : service.targets) {
-        const bool again =
-            std::find(tried.begin(), tried.end(), t.id) != tried.end();
-        if (t.accepts_new_work && !again) {
+        if (t.accepts_new_work && !contains(tried, t.id)) {
             kept.push_back(&t);
         }
     }
@@ -106,17 +108,20 @@
                                const base::region_id& region,
                                const routing::snapshot& s,
                                const target_policy& policy, target_book& book,
-                               std::span<const base::target_id> tried,
+                               const target_wishes& wishes,
                                base::time_point now, base::random& random) {
     const auto service = s.services.find(c.service);
     if (service == s.services.end()) {
         return refusal{outcome::not_run, reason::no_target};
     }
-    auto among = usable(service->second, tried);
+    auto among = usable(service->second, wishes.tried);
     if (among.empty()) {
         return refusal{outcome::not_run, reason::no_target};
     }
     among = prefer(among, [&](const auto& t) { return t.region == region; });
+    among = prefer(among, [&](const auto& t) {
+        return contains(wishes.preferred, t.id) && !book.hot(t.id, now);
+    });
     const question q{c, book, now, random};
     const auto* chosen = std::visit(
         [&](const auto& one) { return pick(one, among, q); }, policy);
--- a/pollenreel/request/choose_target.hpp
+++ b/pollenreel/request/choose_target.hpp
@@ -27,13 +27,19 @@
 using target_policy =
     std::variant<cold_first, least_in_flight, two_choices, round_robin>;
 
-// Chooses among the service's targets in `region` that take new work. `tried`
-// are left out; when none is left there, another region's targets are taken.
-// Refuses with not_run: no_target.
+struct target_wishes {
+    std::span<const base::target_id> tried; // left out
+    // Taken before others while one of them is cold; empty: no preference.
+    std::span<const base::target_id> preferred;
+};
+
+// Chooses among the service's targets in `region` that take new work; when
+// none is left there, another region's targets are taken. Refuses with not_run:
+// no_target.
 [[nodiscard]] filtered<choice>
 choose_target(const classified& c, const base::region_id& region,
               const routing::snapshot& s, const target_policy& policy,
-              target_book& book, std::span<const base::target_id> tried,
+              target_book& book, const target_wishes& wishes,
               base::time_point now, base::random& random);
 
 } // namespace pollenreel::request
--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -11,6 +11,8 @@
 // Attempts of one request, the first included. More would let a request walk
 // through a failing fleet.
 constexpr std::size_t most_attempts = 3;
+// How often waiting long-running work looks for room that others left idle.
+constexpr base::duration recheck_period = std::chrono::seconds(1);
 
 } // namespace
 
@@ -21,6 +23,7 @@
 effects core::handle(const event& e, base::time_point now) {
     effects out;
     std::visit([&](const auto& one) { on(one, now, out); }, e);
+    start_waiting(now, out);
     return out;
 }
 
@@ -37,31 +40,143 @@
 
 void core::on(const snapshot_changed& e, base::time_point, effects&) {
     m_snapshot = e.snapshot;
+    for (auto& [key, at] : m_pools) {
+        const auto service = m_snapshot->services.find(key.first);
+        at.plan = service == m_snapshot->services.end()
+                      ? service_plan{}
+                      : make_plan(service->second, key.second, *m_snapshot,
+                                  m_options.place);
+        m_with_new_room.insert(&at);
+    }
 }
 
 void core::on(const arrival& e, base::time_point now, effects& out) {
     ++m_counters.requests;
     auto c = classify(e, *m_snapshot, now);
     if (const auto* r = std::get_if<refusal>(&c)) {
-        return refuse(e.id, *r, out);
+        return refuse(e.id, *r, now, out);
     }
     auto a = admit(std::get<classified>(std::move(c)),
                    load{m_pending.size(), m_stopping});
     if (const auto* r = std::get_if<refusal>(&a)) {
-        return refuse(e.id, *r, out);
+        return refuse(e.id, *r, now, out);
+    }
+    const auto& request = std::get<classified>(a);
+    const auto region = choose_region(request, *m_snapshot);
+    if (const auto* r = std::get_if<refusal>(&region)) {
+        return refuse(e.id, *r, now, out);
     }
     auto& p = m_pending[e.id];
-    p.request = std::get<classified>(std::move(a));
+    p.request = request;
+    p.region = std::get<base::region_id>(region);
+    p.arrived = now;
+    p.lane = request.kind.long_running ? lane::of_long : lane::of_short;
     m_timers.emplace(p.request.deadline, e.id, timer::deadline);
     auto& state = state_of(p.request);
     state.hedges.earn(p.request.kind.hedge_budget_percent);
     state.retries.earn(p.request.kind.retry_budget_percent);
+    enter(p, now, out);
+}
+
+core::pool& core::pool_of(const pending& p) {
+    const auto [found, is_new] =
+        m_pools.try_emplace({p.request.service, p.region});
+    if (is_new) {
+        found->second.plan =
+            make_plan(m_snapshot->services.at(p.request.service), p.region,
+                      *m_snapshot, m_options.place);
+    }
+    return found->second;
+}
+
+void core::enter(pending& p, base::time_point now, effects& out) {
+    auto& at = pool_of(p);
+    if (at.lanes.line(p.lane).size() == 0 && has_room(p, at, now)) {
+        return run(p, now, out);
+    }
+    wait(p, at, now, out);
+}
+
+bool core::has_room(const pending& p, const pool& at,
+                    base::time_point now) const {
+    if (p.lane == lane::of_long) {
+        return !at.lanes.room_for_long(at.plan, m_book, now - p.arrived)
+                    .empty();
+    }
+    const auto service = m_snapshot->services.find(p.request.service);
+    return service == m_snapshot->services.end() ||
+           at.lanes.short_has_room(at.plan, service->second.in_flight_percent);
+}
+
+void core::run(pending& p, base::time_point now, effects& out) {
+    p.running = true;
+    pool_of(p).lanes.started(p.lane, now);
     if (const auto r = start_attempt(p, cause::first, now, out)) {
-        return refuse(e.id, *r, out);
+        return refuse(p.request.id, *r, now, out);
     }
     arm_hedge(p, now);
 }
 
+void core::wait(pending& p, pool& at, base::time_point now, effects& out) {
+    auto& line = at.lanes.line(p.lane);
+    const auto ahead = line.ahead_of(p.request.kind.priority);
+    const auto usual = state_of(p.request).latency.quantile(0.5);
+    const auto ready = now + at.lanes.expected_wait(p.lane, ahead) +
+                       usual.value_or(base::duration{});
+    const refusal overloaded{outcome::not_run, reason::overloaded};
+    if (ready > p.request.deadline) {
+        ++m_counters.shed;
+        return refuse(p.request.id, overloaded, now, out);
+    }
+    ++m_counters.queued;
+    arm_recheck(p, now);
+    const auto limit = m_snapshot->services.at(p.request.service).queue_limit;
+    if (const auto put_out =
+            line.push(p.request.id, p.request.kind.priority, limit)) {
+        ++m_counters.shed;
+        refuse(*put_out, overloaded, now, out);
+    }
+}
+
+void core::arm_recheck(pending& p, base::time_point now) {
+    if (p.lane == lane::of_long) {
+        p.recheck_at = now + recheck_period;
+        m_timers.emplace(*p.recheck_at, p.request.id, timer::recheck);
+    }
+}
+
+void core::start_waiting(base::time_point now, effects& out) {
+    while (!m_with_new_room.empty()) {
+        auto& at = **m_with_new_room.begin();
+        m_with_new_room.erase(m_with_new_room.begin());
+        while (start_first(at, lane::of_short, now, out)) {
+        }
+        while (start_first(at, lane::of_long, now, out)) {
+        }
+    }
+}
+
+bool core::start_first(pool& at, lane l, base::time_point now, effects& out) {
+    auto& line = at.lanes.line(l);
+    const auto first = line.first();
+    if (!first || !has_room(m_pending.at(*first), at, now)) {
+        return false;
+    }
+    line.remove(*first);
+    run(m_pending.at(*first), now, out);
+    return true;
+}
+
+void core::leave_lane(const pending& p, base::time_point now) {
+    auto& at = pool_of(p);
+    if (p.running) {
+        at.lanes.ended(p.lane, now);
+    } else {
+        at.lanes.line(p.lane).remove(p.request.id);
+    }
+    m_with_new_room.insert(&at);
+}
+
 core::kind_state& core::state_of(const classified& c) {
     return m_kinds[{c.service, c.kind.id}];
 }
@@ -71,13 +186,14 @@
     if (now >= p.request.deadline) {
         return refusal{outcome::not_run, reason::deadline_expired};
     }
-    const auto region = choose_region(p.request, *m_snapshot);
-    if (const auto* r = std::get_if<refusal>(&region)) {
-        return *r;
-    }
+    const auto& at = pool_of(p);
+    const auto preferred =
+        p.lane == lane::of_short
+            ? at.lanes.preferred_by_short(at.plan)
+            : at.lanes.room_for_long(at.plan, m_book, now - p.arrived);
     auto chosen =
-        choose_target(p.request, std::get<base::region_id>(region), *m_snapshot,
-                      m_options.choose, m_book, p.tried, now, m_random);
+        choose_target(p.request, p.region, *m_snapshot, m_options.choose,
+                      m_book, {p.tried, preferred}, now, m_random);
     if (const auto* r = std::get_if<refusal>(&chosen)) {
         return *r;
     }
@@ -98,7 +214,7 @@
 
 void core::arm_hedge(pending& p, base::time_point now) {
     const auto& kind = p.request.kind;
-    if (!kind.idempotent || kind.hedge_percentile == 0) {
+    if (!kind.idempotent || kind.long_running || kind.hedge_percentile == 0) {
         return;
     }
     const auto delay =
@@ -160,7 +276,13 @@
             continue;
         }
         m_timers.erase(m_timers.begin());
-        hedge(id, now, out);
+        if (which == timer::hedge) {
+            hedge(id, now, out);
+            continue;
+        }
+        auto& p = m_pending.at(id);
+        m_with_new_room.insert(&pool_of(p));
+        arm_recheck(p, now);
     }
 }
 
@@ -206,7 +328,7 @@
         }
         abandon(loser, reason::deadline_expired, now, out);
     }
-    forget_request(won.request);
+    forget_request(won.request, now);
 }
 
 void core::after_failure(base::attempt_id id, base::time_point now,
@@ -230,7 +352,7 @@
         !start_attempt(p, cause::retry, now, out)) {
         return;
     }
-    refuse(failed.request, how, out);
+    refuse(failed.request, how, now, out);
 }
 
 void core::end(base::request_id id, reason why, base::time_point now,
@@ -243,7 +365,7 @@
     for (const auto a : attempts) {
         abandon(a, why, now, out);
     }
-    refuse(id, {outcome::not_run, why}, out);
+    refuse(id, {outcome::not_run, why}, now, out);
 }
 
 void core::abandon(base::attempt_id id, reason why, base::time_point now,
@@ -258,7 +380,8 @@
     forget_attempt(id);
 }
 
-void core::refuse(base::request_id id, refusal r, effects& out) {
+void core::refuse(base::request_id id, refusal r, base::time_point now,
+                  effects& out) {
     const auto p = m_pending.find(id);
     if (p != m_pending.end() && p->second.may_have_run) {
         r.outcome = outcome::unknown;
@@ -266,7 +389,7 @@
     ++(r.outcome == outcome::not_run ? m_counters.refused_not_run
                                      : m_counters.refused_unknown);
     out.emplace_back(refuse_request{id, r});
-    forget_request(id);
+    forget_request(id, now);
 }
 
 void core::forget_attempt(base::attempt_id id) {
@@ -275,7 +398,7 @@
     m_open.erase(found);
 }
 
-void core::forget_request(base::request_id id) {
+void core::forget_request(base::request_id id, base::time_point now) {
     const auto found = m_pending.find(id);
     if (found == m_pending.end()) {
         return;
@@ -285,6 +408,10 @@
     if (p.hedge_at) {
         m_timers.erase({*p.hedge_at, id, timer::hedge});
     }
+    if (p.recheck_at) {
+        m_timers.erase({*p.recheck_at, id, timer::recheck});
+    }
+    leave_lane(p, now);
     m_pending.erase(found);
 }
 
--- a/pollenreel/request/core.hpp
+++ b/pollenreel/request/core.hpp
@@ -15,7 +15,9 @@
 #include "pollenreel/request/attempt.hpp"
 #include "pollenreel/request/budget.hpp"
 #include "pollenreel/request/choose_target.hpp"
+#include "pollenreel/request/lanes.hpp"
 #include "pollenreel/request/latency_histogram.hpp"
+#include "pollenreel/request/service_plan.hpp"
 #include "pollenreel/request/target_book.hpp"
 #include "pollenreel/request/types.hpp"
 
@@ -96,11 +98,14 @@
     std::uint64_t retries = 0;    // of the attempts
     std::uint64_t hedges = 0;     // of the attempts
     std::uint64_t hedges_won = 0; // answered before the first attempt
+    std::uint64_t queued = 0;     // waited at this entry
+    std::uint64_t shed = 0;       // refused here for want of room
 };
 
 struct options {
     std::uint64_t seed = 0;
     target_policy choose = cold_first{};
+    thread_place place = {};
 };
 
 class core {
@@ -115,13 +120,18 @@
     [[nodiscard]] const counters& counts() const { return m_counters; }
 
 private:
-    enum class timer { deadline, hedge };
+    enum class timer { deadline, hedge, recheck };
     enum class cause { first, retry, hedge };
     struct pending {
         classified request;
         std::vector<base::attempt_id> open;
         std::vector<base::target_id> tried;
         std::optional<base::time_point> hedge_at;
+        std::optional<base::time_point> recheck_at;
+        base::time_point arrived;
+        base::region_id region;
+        request::lane lane = lane::of_short;
+        bool running = false;      // else it waits in its line
         bool may_have_run = false; // by an attempt that is over
     };
     struct open {
@@ -130,6 +140,11 @@
         base::time_point since;
         bool hedge = false;
     };
+    // The lanes of one service in one region.
+    struct pool {
+        service_plan plan;
+        request::lanes lanes;
+    };
     // What is learnt of, and spent on, one kind of work of one service.
     struct kind_state {
         latency_histogram latency;
@@ -137,6 +152,7 @@
         budget retries{retry_reserve};
     };
     using kind_key = std::pair<base::service_id, base::kind_id>;
+    using pool_key = std::pair<base::service_id, base::region_id>;
     // Extra attempts that may be made at once after quiet times.
     static constexpr std::uint32_t hedge_reserve = 10;
     static constexpr std::uint32_t retry_reserve = 10;
@@ -153,6 +169,20 @@
     void on(const stop_requested& e, base::time_point now, effects& out);
 
     kind_state& state_of(const classified& c);
+    pool& pool_of(const pending& p);
+    // Starts the request, or has it wait in its line.
+    void enter(pending& p, base::time_point now, effects& out);
+    // Whether there is room for it to start.
+    [[nodiscard]] bool has_room(const pending& p, const pool& at,
+                                base::time_point now) const;
+    void run(pending& p, base::time_point now, effects& out);
+    void wait(pending& p, pool& at, base::time_point now, effects& out);
+    // Starts those that wait, in each pool that an end gave room.
+    void start_waiting(base::time_point now, effects& out);
+    // Starts the first of the line; false when it has to wait on.
+    bool start_first(pool& at, lane l, base::time_point now, effects& out);
+    void arm_recheck(pending& p, base::time_point now);
+    void leave_lane(const pending& p, base::time_point now);
     // Opens one attempt, or says why there is none.
     std::optional<refusal> start_attempt(pending& p, cause why,
                                          base::time_point now, effects& out);
@@ -167,9 +197,10 @@
              effects& out);
     void abandon(base::attempt_id id, reason why, base::time_point now,
                  effects& out);
-    void refuse(base::request_id id, refusal r, effects& out);
+    void refuse(base::request_id id, refusal r, base::time_point now,
+                effects& out);
     void forget_attempt(base::attempt_id id);
-    void forget_request(base::request_id id);
+    void forget_request(base::request_id id, base::time_point now);
 
     options m_options;
     routing::snapshot_ptr m_snapshot;
@@ -182,6 +213,8 @@
     std::set<std::tuple<base::time_point, base::request_id, timer>> m_timers;
     target_book m_book;
     std::map<kind_key, kind_state> m_kinds;
+    std::map<pool_key, pool> m_pools;
+    std::set<pool*> m_with_new_room;
 };
 
 } // namespace pollenreel::request
--- /dev/null
+++ b/pollenreel/request/lanes.hpp
@@ -0,0 +1,69 @@
+// Who of the requests of one service runs and who waits. Short and long work
+// have a lane each: a line at the entry and room at the targets. Short work
+// has room until this thread's part of the fleet's in-flight limit is used;
+// long work has the slots that the plan deals to this thread, and borrows
+// more where that hurts nobody.
+//
+//   lanes l;
+//   if (l.try_start(lane::of_short, plan, limits, now)) { ... }
+#pragma once
+
+#include "pollenreel/base/clock.hpp"
+#include "pollenreel/request/service_plan.hpp"
+#include "pollenreel/request/target_book.hpp"
+#include "pollenreel/request/waiting_line.hpp"
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace pollenreel::request {
+
+enum class lane { of_short, of_long };
+
+class lanes {
+public:
+    [[nodiscard]] waiting_line& line(lane l) { return at(l).line; }
+    [[nodiscard]] std::uint32_t running(lane l) const { return at(l).running; }
+
+    // Whether one more request of short work may start.
+    [[nodiscard]] bool short_has_room(const service_plan& plan,
+                                      std::uint32_t in_flight_percent) const;
+    // Targets that one more request of long work may start at; empty when it
+    // has to wait. `waited` is how long it has.
+    [[nodiscard]] std::vector<base::target_id>
+    room_for_long(const service_plan& plan, const target_book& book,
+                  base::duration waited) const;
+    // Targets that short work should go to now.
+    [[nodiscard]] const std::vector<base::target_id>&
+    preferred_by_short(const service_plan& plan) const;
+
+    void started(lane l, base::time_point now);
+    // `took` is the time since it started.
+    void ended(lane l, base::time_point now);
+    // How long a newcomer with `ahead` others before it will wait.
+    [[nodiscard]] base::duration expected_wait(lane l, std::size_t ahead) const;
+
+private:
+    struct state {
+        waiting_line line;
+        std::uint32_t running = 0;
+        double level = 0;        // running, averaged over time
+        double end_interval = 0; // seconds between ends, averaged
+        base::time_point changed;
+        base::time_point last_end;
+    };
+
+    [[nodiscard]] state& at(lane l) {
+        return m_states[static_cast<std::size_t>(l)];
+    }
+    [[nodiscard]] const state& at(lane l) const {
+        return m_states[static_cast<std::size_t>(l)];
+    }
+    static void settle(state& s, base::time_point now);
+
+    std::array<state, 2> m_states;
+    static const std::vector<base::target_id> any;
+};
+
+} // namespace pollenreel::request
--- /dev/null
+++ b/pollenreel/request/service_plan.cpp
@@ -0,0 +1,109 @@
+#include "pollenreel/request/service_plan.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace pollenreel::request {
+
+namespace {
+
+std::uint64_t weight_of(const std::string& text, std::uint64_t salt) {
+    return XXH3_64bits_withSeed(text.data(), text.size(), salt);
+}
+
+std::vector<const routing::target*> usable(const routing::service& service,
+                                           const base::region_id& region) {
+    std::vector<const routing::target*> found;
+    for (const auto& t : service.targets) {
+        if (t.region == region && t.accepts_new_work) {
+            found.push_back(&t);
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const auto* a, const auto* b) {
+        return std::pair(weight_of(a->id.str(), 0), a->id) <
+               std::pair(weight_of(b->id.str(), 0), b->id);
+    });
+    return found;
+}
+
+// The instances that use the targets of `region`: those in it; all of them
+// for one that is elsewhere.
+std::vector<base::instance_id> sharers(const base::region_id& region,
+                                       const routing::snapshot& s) {
+    std::vector<base::instance_id> ids{s.self};
+    for (const auto& i : s.instances) {
+        const auto at = s.region_of.find(i.failure_domain);
+        const bool there = at != s.region_of.end() && at->second == region;
+        if (there || s.region != region) {
+            ids.push_back(i.id);
+        }
+    }
+    std::sort(ids.begin(), ids.end());
+    ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
+    return ids;
+}
+
+bool has_long_kind(const routing::service& service) {
+    return std::any_of(service.kinds.begin(), service.kinds.end(),
+                       [](const auto& k) { return k.long_running; });
+}
+
+// Deals the slots of the long targets to the sharers in turn.
+void deal_long_slots(service_plan& plan,
+                     const std::vector<const routing::target*>& long_targets,
+                     std::size_t own_rank) {
+    std::vector<std::pair<std::uint64_t, const routing::target*>> dealt;
+    for (const auto* t : long_targets) {
+        for (std::uint32_t slot = 0; slot < t->slots; ++slot) {
+            dealt.emplace_back(weight_of(t->id.str(), slot + 1), t);
+        }
+    }
+    std::sort(dealt.begin(), dealt.end());
+    for (auto i = own_rank; i < dealt.size(); i += plan.sharers) {
+        ++plan.own_long_slots[dealt[i].second->id];
+    }
+}
+
+} // namespace
+
+std::uint32_t service_plan::part_of(std::uint64_t slots_in_all) const {
+    const auto part = (slots_in_all + sharers - 1) / sharers;
+    return static_cast<std::uint32_t>(std::max<std::uint64_t>(part, 1));
+}
+
+service_plan make_plan(const routing::service& service,
+                       const base::region_id& region,
+                       const routing::snapshot& s, thread_place place) {
+    const auto targets = usable(service, region);
+    const auto instances = sharers(region, s);
+    const auto own =
+        std::lower_bound(instances.begin(), instances.end(), s.self) -
+        instances.begin();
+    service_plan plan;
+    plan.sharers = static_cast<std::uint32_t>(instances.size()) * place.threads;
+    std::size_t for_long = 0;
+    if (has_long_kind(service) && targets.size() > 1) {
+        for_long = (targets.size() * service.long_running_percent + 99) / 100;
+    }
+    std::vector<const routing::target*> long_targets;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        const auto& t = *targets[i];
+        plan.slots += t.slots;
+        if (i < for_long) {
+            long_targets.push_back(&t);
+            plan.long_targets.push_back(t.id);
+        } else {
+            plan.short_slots += t.slots;
+            plan.short_targets.push_back(t.id);
+        }
+    }
+    deal_long_slots(plan, long_targets,
+                    static_cast<std::size_t>(own) * place.threads +
+                        place.index);
+    return plan;
+}
+
+} // namespace pollenreel::request
--- a/pollenreel/request/tail_benchmark.cpp
+++ b/pollenreel/request/tail_benchmark.cpp
@@ -16,6 +16,8 @@
 constexpr double work_ms = 10;
 constexpr std::size_t slowed_at_once = 3;
 constexpr double slowed_factor = 10;
+// So many attempts under way that none ever waits at an entry.
+constexpr std::uint32_t no_limit_percent = 10'000;
 constexpr double p99_bound = 1.5;
 constexpr double p999_bound = 2.5;
 constexpr double extra_attempts_bound = 0.05;
@@ -24,14 +26,15 @@
     const char* name;
     target_policy choose;
     bool hedges;
+    bool limits;
 };
 
 const candidate candidates[] = {
-    {"cold first, hedged", cold_first{}, true},
-    {"cold first", cold_first{}, false},
-    {"least in-flight, hedged", least_in_flight{}, true},
-    {"two choices, hedged", two_choices{}, true},
-    {"round robin", round_robin{}, false},
+    {"cold first, hedged", cold_first{}, true, true},
+    {"cold first", cold_first{}, false, true},
+    {"least in-flight, hedged", least_in_flight{}, true, true},
+    {"two choices, hedged", two_choices{}, true, true},
+    {"round robin", round_robin{}, false, false},
 };
 
 // At each moment three targets are slowed, each for 2-10 s.
@@ -76,10 +79,13 @@
 
 tails run_candidate(const candidate& c, std::uint64_t seed) {
     auto o = bench_desk(seed);
-    o.make_core = [&](std::uint64_t own) { return core({own, c.choose}); };
+    o.make_core = [&](std::uint64_t own) { return core({own, c.choose, {}}); };
     if (!c.hedges) {
         o.service.kinds[0].hedge_percentile = 0;
     }
+    if (!c.limits) {
+        o.service.in_flight_percent = no_limit_percent;
+    }
     const auto clean = testing::run_fleet(o);
     o.targets.slow_phases = slow_phases(seed, o.warm_up + o.length);
     const auto slowed = testing::run_fleet(o);
--- a/pollenreel/routing/snapshot.hpp
+++ b/pollenreel/routing/snapshot.hpp
@@ -43,7 +43,7 @@
     // As declared; see declarations::service.
     std::uint32_t long_running_percent = 50;
     std::uint32_t queue_limit = 200;
-    std::uint32_t in_flight_percent = 300;
+    std::uint32_t in_flight_percent = 200;
     std::chrono::milliseconds slow_start{10000};
 };
 
--- a/testing/request/virtual_fleet.cpp
+++ b/testing/request/virtual_fleet.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 const base::region_id only_region("region");
+const base::failure_domain_id only_domain("region-a");
 
 routing::snapshot_ptr snapshot_for(const fleet_options& o, std::size_t entry) {
     auto s = std::make_shared<routing::snapshot>();
@@ -22,8 +23,11 @@
     s->region = only_region;
     for (std::size_t i = 0; i < o.entries; ++i) {
         s->instances.push_back(
-            {base::instance_id(fmt::format("entry-{:04}", i)), {}, {}});
+            {base::instance_id(fmt::format("entry-{:04}", i)),
+             only_domain,
+             {}});
     }
+    s->region_of[only_domain] = only_region;
     s->self = s->instances[entry].id;
     auto& service = s->services[o.service.id];
     service.id = o.service.id;
