--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -32,6 +32,8 @@
          node::measure_path_cost},
         {"tail", true, "look-up latency while some targets are slowed",
          request::measure_tail},
+        {"short_behind_long", true, "look-up latency beside long work",
+         request::measure_short_behind_long},
     };
     return all;
 }
