Feed the configuration to peers as deltas, watched by few instances

Cause: each instance read the whole configuration from the store each second and peers sent whole documents to each other. Change: a library, feed, pure: two instances of each region, by rendezvous hashing over the live members, watch the store (resume after a cut, read again after compaction, check by a read without the value that the watch is not silent); a new version is pushed as a delta along a random fan-out of 4 near and 2 far peers; digests of one random peer each 500 ms repair what was missed, from a log of deltas or, if too old, whole; checksums (XXH3) keep a wrong delta out; only greater versions are taken. Watchers gather who applies what and floors of regions are gossiped, so that status names the missing at any size. The control core polls no more.

--- a/pollenreel/control/answers.cpp
+++ b/pollenreel/control/answers.cpp
@@ -33,6 +33,21 @@
             {"current", m.applied >= current}};
 }
 
+template <class Id>
+json::array names(const std::vector<Id>& ids) {
+    json::array list;
+    for (const auto& id : ids) {
+        list.emplace_back(id.str());
+    }
+    return list;
+}
+
+// How long ago the configuration was known to be the newest.
+json::value confirmed_json(const feed::feed& feed, base::time_point now) {
+    const auto ago = feed.confirmed_ago(now);
+    return ago ? json::value(ago->count()) : json::value(nullptr);
+}
+
 } // namespace
 
 answer_operator answer(call_id call, const verdict& v) {
@@ -71,26 +86,28 @@
 status_json(const declarations::configuration& current,
             const peer::member& self,
             const std::map<base::instance_id, known_member>& members,
-            base::time_point now) {
+            base::time_point now, const feed::feed& feed) {
     json::array list;
-    bool in_force = true;
     for (const auto& [id, m] : members) {
-        auto one = member_json(m, now, current.version);
-        const bool counts = one.at("state") == "live";
-        in_force = in_force && (!counts || one.at("current").as_bool());
-        list.emplace_back(std::move(one));
+        list.emplace_back(member_json(m, now, current.version));
     }
+    const auto coverage = feed.coverage_of(current.version);
     json::array drained;
     for (const auto& t : current.commanded.drained_targets) {
         drained.emplace_back(t.str());
     }
-    return json::serialize(json::object{{"instance", self.instance.str()},
-                                        {"version", current.version.value()},
-                                        {"author", current.author},
-                                        {"summary", current.summary},
-                                        {"in_force", in_force},
-                                        {"drained_targets", drained},
-                                        {"members", list}});
+    return json::serialize(
+        json::object{{"instance", self.instance.str()},
+                     {"version", current.version.value()},
+                     {"author", current.author},
+                     {"summary", current.summary},
+                     {"in_force", coverage.in_force},
+                     {"behind", coverage.behind},
+                     {"missing", names(coverage.missing)},
+                     {"unheard", names(coverage.unheard)},
+                     {"confirmed_ms_ago", confirmed_json(feed, now)},
+                     {"drained_targets", drained},
+                     {"members", list}});
 }
 
 answer_operator where_answer(call_id call, const language::where& query,
--- a/pollenreel/control/answers.hpp
+++ b/pollenreel/control/answers.hpp
@@ -13,7 +13,7 @@
 status_json(const declarations::configuration& current,
             const peer::member& self,
             const std::map<base::instance_id, known_member>& members,
-            base::time_point now);
+            base::time_point now, const feed::feed& feed);
 
 [[nodiscard]] answer_operator
 where_answer(call_id call, const language::where& query,
--- a/pollenreel/control/core.cpp
+++ b/pollenreel/control/core.cpp
@@ -3,6 +3,7 @@
 #include "pollenreel/base/overloaded.hpp"
 #include "pollenreel/control/answers.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace pollenreel::control {
@@ -11,8 +12,26 @@
 
 // Trades bytes between instances against how soon a death is noticed.
 constexpr std::chrono::milliseconds heartbeat_period{500};
-// Trades store calls against how soon a change made elsewhere is seen.
-constexpr std::chrono::milliseconds poll_period{1000};
+// A seed of its own for each start of each instance.
+std::uint64_t seed_of(const peer::member& self) {
+    return feed::checksum(self.instance.str()) ^ self.incarnation;
+}
+
+base::region_id region_of(const declarations::document& d,
+                          const base::failure_domain_id& domain) {
+    for (const auto& r : d.regions) {
+        if (std::find(r.failure_domains.begin(), r.failure_domains.end(),
+                      domain) != r.failure_domains.end()) {
+            return r.id;
+        }
+    }
+    return base::region_id(domain.str()); // nothing is declared yet
+}
+
+feed::member as_feed_member(const declarations::document& d,
+                            const peer::member& m) {
+    return {m.instance, region_of(d, m.failure_domain), m.peer_address};
+}
 
 bool due(std::optional<base::time_point>& last, base::duration period,
          base::time_point now) {
@@ -31,7 +50,9 @@
 
 core::core(identity who)
     : m_who(std::move(who)), m_committer(m_who.configuration_key),
-      m_members(m_who.self.instance) {}
+      m_members(m_who.self.instance),
+      m_feed(as_feed_member({}, m_who.self), m_who.seeds,
+             m_who.configuration_key, seed_of(m_who.self)) {}
 
 effects core::handle(const event& e, base::time_point now) {
     effects out;
@@ -43,11 +64,8 @@
     if (due(m_last_heartbeat, heartbeat_period, now)) {
         send_heartbeats(out);
     }
-    if (!m_polling && due(m_last_poll, poll_period, now)) {
-        m_polling = true;
-        out.emplace_back(
-            call_store{store_user::poll, store::read{m_who.configuration_key}});
-    }
+    tell_feed_members(now, out);
+    run(m_feed.on_tick(now), now, out);
     republish(now, out);
 }
 
@@ -55,14 +73,11 @@
     if (e.user == store_user::committer) {
         return take_step(m_committer.on_reply(e.reply), now, out);
     }
-    m_polling = false;
-    const auto* found = std::get_if<store::found>(&e.reply);
-    if (found == nullptr || !found->value) {
-        return;
-    }
-    if (auto decoded = declarations::decode(found->value->value)) {
-        offer(std::move(decoded.value()), now, out);
-    }
+    run(m_feed.on_reply(e.reply, now), now, out);
+}
+
+void core::on(const watch_reported& e, base::time_point now, effects& out) {
+    run(m_feed.on_report(e.report, now), now, out);
 }
 
 void core::on(const peer_received& e, base::time_point now, effects& out) {
@@ -71,31 +86,11 @@
 
 void core::on(const peer::heartbeat& m, base::time_point now, effects& out) {
     m_members.on_heartbeat(m, now);
-    if (m.applied > m_configuration.version) {
-        out.emplace_back(
-            send_peer{m.sender.peer_address,
-                      peer::configuration_request{m_who.self.peer_address,
-                                                  m_configuration.version}});
-    }
+    m_feed.on_applied(m.sender.instance, m.applied);
+    tell_feed_members(now, out);
     republish(now, out);
 }
 
-void core::on(const peer::configuration_request& m, base::time_point,
-              effects& out) {
-    if (m_configuration.version > m.have) {
-        out.emplace_back(send_peer{
-            m.reply_to,
-            peer::configuration_push{declarations::encode(m_configuration)}});
-    }
-}
-
-void core::on(const peer::configuration_push& m, base::time_point now,
-              effects& out) {
-    if (auto decoded = declarations::decode(m.encoded)) {
-        offer(std::move(decoded.value()), now, out);
-    }
-}
-
 void core::on(const query_received& e, base::time_point now, effects& out) {
     std::visit(
         base::overloaded{
@@ -103,7 +98,7 @@
                 out.emplace_back(
                     answer_operator{e.call, answer_status::ok,
                                     status_json(m_configuration, m_who.self,
-                                                m_members.all(), now)});
+                                                m_members.all(), now, m_feed)});
             },
             [&](const language::where& q) {
                 out.emplace_back(where_answer(e.call, q, m_configuration));
@@ -132,9 +127,7 @@
 
 void core::take_step(committer::step s, base::time_point now, effects& out) {
     for (const auto& text : s.seen) {
-        if (auto decoded = declarations::decode(text)) {
-            offer(std::move(decoded.value()), now, out);
-        }
+        run(m_feed.offer(text, now), now, out);
     }
     for (const auto& d : s.finished) {
         const auto waiting = m_waiting.find(d.command);
@@ -148,16 +141,51 @@
     }
 }
 
-void core::offer(declarations::configuration c, base::time_point now,
+void core::run(feed::effects from, base::time_point now, effects& out) {
+    for (auto& e : from) {
+        std::visit(base::overloaded{
+                       [&](feed::send& one) {
+                           auto m = std::visit(
+                               [](auto& part) {
+                                   return peer::message(std::move(part));
+                               },
+                               one.message);
+                           out.emplace_back(send_peer{one.to, std::move(m)});
+                       },
+                       [&](feed::take& one) {
+                           apply(std::move(one.configuration), now, out);
+                       },
+                       [&](feed::ask_store& one) {
+                           out.emplace_back(call_store{store_user::feed,
+                                                       std::move(one.request)});
+                       },
+                       [&](auto& watch) { out.emplace_back(watch); },
+                   },
+                   e);
+    }
+}
+
+void core::apply(declarations::configuration c, base::time_point now,
                  effects& out) {
-    if (c.version <= m_configuration.version) {
-        return;
-    }
     m_configuration = std::move(c);
     m_committer.learn(m_configuration);
     m_published.clear();
     republish(now, out);
-    send_heartbeats(out); // tells the peers that there is a greater version
+    tell_feed_members(now, out); // regions may have changed
+}
+
+void core::tell_feed_members(base::time_point now, effects& out) {
+    std::vector<feed::member> live;
+    if (!m_who.self.leaving) {
+        live.push_back(as_feed_member(m_configuration.declared, m_who.self));
+    }
+    for (const auto& m : m_members.usable(now)) {
+        live.push_back(as_feed_member(m_configuration.declared, m.member));
+    }
+    if (live != m_live) {
+        m_live = live;
+        run(m_feed.on_members(std::move(live), now), now, out);
+    }
 }
 
 void core::send_heartbeats(effects& out) {
--- a/pollenreel/control/core.hpp
+++ b/pollenreel/control/core.hpp
@@ -14,6 +14,7 @@
 #include "pollenreel/base/clock.hpp"
 #include "pollenreel/control/committer.hpp"
 #include "pollenreel/control/member_table.hpp"
+#include "pollenreel/feed/feed.hpp"
 #include "pollenreel/language/command.hpp"
 #include "pollenreel/peer/message.hpp"
 #include "pollenreel/routing/snapshot.hpp"
@@ -35,7 +36,7 @@
 using call_id = base::number_id<struct call_tag>;
 
 // Who is asking for a store call; comes back with its reply.
-enum class store_user { committer, poll };
+enum class store_user { committer, feed };
 
 // Events.
 struct tick {};
@@ -43,6 +44,9 @@
     store_user user;
     store::reply reply;
 };
+struct watch_reported {
+    store::watch_report report;
+};
 struct peer_received {
     peer::message message;
 };
@@ -55,10 +59,12 @@
     control::change change;
 };
 struct stop_requested {};
-using event = std::variant<tick, store_replied, peer_received, query_received,
-                           change_received, stop_requested>;
+using event = std::variant<tick, store_replied, watch_reported, peer_received,
+                           query_received, change_received, stop_requested>;
 
-// Effects.
+// Effects. At most one watch is open: opening one closes the one before.
+using feed::close_watch;
+using feed::open_watch;
 struct call_store {
     store_user user;
     store::request request;
@@ -76,7 +82,8 @@
     answer_status status;
     std::string json;
 };
-using effect = std::variant<call_store, send_peer, publish, answer_operator>;
+using effect = std::variant<call_store, open_watch, close_watch, send_peer,
+                            publish, answer_operator>;
 using effects = std::vector<effect>;
 
 struct identity {
@@ -97,21 +104,24 @@
 private:
     void on(const tick& e, base::time_point now, effects& out);
     void on(const store_replied& e, base::time_point now, effects& out);
+    void on(const watch_reported& e, base::time_point now, effects& out);
     void on(const peer_received& e, base::time_point now, effects& out);
     void on(const query_received& e, base::time_point now, effects& out);
     void on(const change_received& e, base::time_point now, effects& out);
     void on(const stop_requested& e, base::time_point now, effects& out);
 
     void on(const peer::heartbeat& m, base::time_point now, effects& out);
-    void on(const peer::configuration_request& m, base::time_point now,
-            effects& out);
-    void on(const peer::configuration_push& m, base::time_point now,
-            effects& out);
+    template <class FeedMessage>
+    void on(const FeedMessage& m, base::time_point now, effects& out) {
+        run(m_feed.on_message(m, now), now, out);
+    }
 
     void take_step(committer::step s, base::time_point now, effects& out);
-    // Takes `c` into use if its version is greater than the current one.
-    void offer(declarations::configuration c, base::time_point now,
+    void run(feed::effects from, base::time_point now, effects& out);
+    void apply(declarations::configuration c, base::time_point now,
                effects& out);
+    // Tells the feed who is live, if that or the regions changed.
+    void tell_feed_members(base::time_point now, effects& out);
     void send_heartbeats(effects& out);
     void republish(base::time_point now, effects& out);
 
@@ -122,8 +132,8 @@
     std::map<base::command_id, call_id> m_waiting; // operators' calls
     std::vector<routing::instance> m_published;
     std::optional<base::time_point> m_last_heartbeat;
-    std::optional<base::time_point> m_last_poll;
-    bool m_polling = false;
+    feed::feed m_feed;
+    std::vector<feed::member> m_live; // as the feed was told
 };
 
 } // namespace pollenreel::control
--- a/pollenreel/control/core_test.cpp
+++ b/pollenreel/control/core_test.cpp
@@ -29,8 +29,10 @@
 }
 
 control::event push(std::uint64_t v) {
-    return control::peer_received{
-        peer::configuration_push{declarations::encode(version(v))}};
+    return control::peer_received{feed::push{{"127.0.0.1", 7001},
+                                             base::config_version(v),
+                                             {},
+                                             declarations::encode(version(v))}};
 }
 
 template <class Effect>
--- /dev/null
+++ b/pollenreel/feed/acknowledgements.cpp
@@ -0,0 +1,131 @@
+#include "pollenreel/feed/acknowledgements.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace pollenreel::feed {
+
+namespace {
+
+// Two instances may for a moment both speak for a region: neither's floor
+// replaces the other's unless it is newer, or says less at the same stamp.
+bool replaces(const region_floor& made, const region_floor& known) {
+    return made.stamp > known.stamp ||
+           (made.stamp == known.stamp && made.version < known.version);
+}
+
+} // namespace
+
+void acknowledgements::on_applied(const base::instance_id& who,
+                                  base::config_version v) {
+    auto& known = m_applied[who];
+    known = std::max(known, v);
+}
+
+void acknowledgements::on_floor(const region_floor& f, base::time_point now) {
+    const auto known = m_floors.find(f.region);
+    if (known == m_floors.end() || replaces(f, known->second.floor)) {
+        m_floors[f.region] = {f, now};
+    }
+}
+
+void acknowledgements::speak_for(const base::region_id& region,
+                                 const std::vector<member>& members,
+                                 base::config_version applied,
+                                 base::time_point now) {
+    auto& known = m_floors[region];
+    region_floor made{region, applied, 0, 0, {}, known.floor.stamp};
+    for (const auto& m : members) {
+        ++made.members;
+        const auto found = m_applied.find(m.instance);
+        const auto v =
+            found == m_applied.end() ? base::config_version() : found->second;
+        made.version = std::min(made.version, v);
+        if (v < applied) {
+            ++made.behind;
+            if (made.missing.size() < most_named_missing) {
+                made.missing.push_back(m.instance);
+            }
+        }
+    }
+    if (made != known.floor) {
+        ++made.stamp;
+        known = {made, now};
+    }
+}
+
+void acknowledgements::keep(const std::vector<member>& live) {
+    std::set<base::instance_id> instances;
+    std::set<base::region_id> regions;
+    for (const auto& m : live) {
+        instances.insert(m.instance);
+        regions.insert(m.region);
+    }
+    std::erase_if(m_applied, [&](const auto& one) {
+        return !instances.contains(one.first);
+    });
+    std::erase_if(m_floors, [&](const auto& one) {
+        return !regions.contains(one.first);
+    });
+}
+
+std::vector<region_floor> acknowledgements::floors_to_tell() {
+    std::vector<const known_floor*> all;
+    for (const auto& [region, f] : m_floors) {
+        all.push_back(&f);
+    }
+    const auto newest = std::min(most_floors / 2, all.size());
+    std::partial_sort(
+        all.begin(), all.begin() + static_cast<std::ptrdiff_t>(newest),
+        all.end(),
+        [](const auto* a, const auto* b) { return a->changed > b->changed; });
+    std::vector<region_floor> told;
+    for (std::size_t i = 0; i < std::min(most_floors, all.size()); ++i) {
+        const auto rest = all.size() - newest;
+        const auto index =
+            i < newest ? i
+                       : newest + (m_turn++ % std::max<std::size_t>(rest, 1));
+        told.push_back(all[index]->floor);
+    }
+    return told;
+}
+
+std::optional<base::config_version>
+acknowledgements::floor_of(const base::region_id& region) const {
+    const auto found = m_floors.find(region);
+    if (found == m_floors.end()) {
+        return std::nullopt;
+    }
+    return found->second.floor.version;
+}
+
+coverage acknowledgements::of(base::config_version v,
+                              const std::vector<member>& live) const {
+    coverage c;
+    std::map<base::region_id, std::vector<base::instance_id>> by_region;
+    for (const auto& m : live) {
+        const auto known = m_applied.find(m.instance);
+        auto& missing = by_region[m.region];
+        if (known == m_applied.end() || known->second < v) {
+            missing.push_back(m.instance);
+        }
+    }
+    for (const auto& [region, not_heard] : by_region) {
+        const auto f = m_floors.find(region);
+        if (not_heard.empty() ||
+            (f != m_floors.end() && f->second.floor.version >= v)) {
+            continue;
+        }
+        if (f == m_floors.end()) {
+            c.unheard.push_back(region);
+            continue;
+        }
+        const auto& names = f->second.floor.missing;
+        c.behind += std::max<std::uint32_t>(f->second.floor.behind, 1);
+        c.missing.insert(c.missing.end(), names.begin(), names.end());
+    }
+    c.in_force = c.behind == 0 && c.unheard.empty();
+    return c;
+}
+
+} // namespace pollenreel::feed
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -151,6 +151,14 @@
         });
     }
 
+    void run(const control::open_watch& e) {
+        m_watch = m_store.open(e.watch, [this](const store::watch_report& r) {
+            handle(control::watch_reported{r});
+        });
+    }
+
+    void run(const control::close_watch&) { m_watch.reset(); }
+
     void run(const control::send_peer& e) { m_peers.send(e.to, e.message); }
 
     void run(const control::publish& e) {
@@ -238,6 +246,7 @@
     http::server m_operators;
     peer::transport m_peers;
     store::etcd_client m_store;
+    std::unique_ptr<store::open_watch> m_watch;
     control::call_id m_last_call;
     std::map<control::call_id, http::responder> m_calls;
     bool m_leaving = false;
--- a/pollenreel/peer/codec.cpp
+++ b/pollenreel/peer/codec.cpp
@@ -1,6 +1,7 @@
 #include "pollenreel/peer/codec.hpp"
 
 #include "pollenreel/base/overloaded.hpp"
+#include "pollenreel/peer/feed_codec.hpp"
 #include "proto/peer.pb.h"
 
 namespace pollenreel::peer {
@@ -46,13 +47,12 @@
     return h;
 }
 
-std::optional<message> read(const wire::ConfigurationRequest& from) {
-    auto reply_to = base::parse_endpoint(from.reply_to());
-    if (!reply_to) {
+template <class One>
+std::optional<message> as_message(std::optional<One> one) {
+    if (!one) {
         return std::nullopt;
     }
-    return configuration_request{reply_to.value(),
-                                 base::config_version(from.have())};
+    return message(std::move(*one));
 }
 
 } // namespace
@@ -68,14 +68,14 @@
                            fill(*to.add_known(), k);
                        }
                    },
-                   [&](const configuration_request& r) {
-                       auto& to = *e.mutable_configuration_request();
-                       to.set_reply_to(r.reply_to.str());
-                       to.set_have(r.have.value());
+                   [&](const feed::push& p) {
+                       fill(*e.mutable_configuration_push(), p);
                    },
-                   [&](const configuration_push& p) {
-                       e.mutable_configuration_push()->set_configuration(
-                           p.encoded);
+                   [&](const feed::pull& p) {
+                       fill(*e.mutable_configuration_pull(), p);
+                   },
+                   [&](const feed::digest& d) {
+                       fill(*e.mutable_configuration_digest(), d);
                    },
                },
                m);
@@ -91,10 +91,12 @@
     switch (e.body_case()) {
     case wire::Envelope::kHeartbeat:
         return read(e.heartbeat());
-    case wire::Envelope::kConfigurationRequest:
-        return read(e.configuration_request());
     case wire::Envelope::kConfigurationPush:
-        return configuration_push{e.configuration_push().configuration()};
+        return as_message(read(e.configuration_push()));
+    case wire::Envelope::kConfigurationPull:
+        return as_message(read(e.configuration_pull()));
+    case wire::Envelope::kConfigurationDigest:
+        return as_message(read(e.configuration_digest()));
     case wire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/pollenreel/peer/codec_test.cpp
+++ b/pollenreel/peer/codec_test.cpp
@@ -27,6 +27,60 @@
     CHECK(back.known == sent.known);
 }
 
+TEST_CASE("what passes the configuration on survives the wire") {
+    const base::endpoint at{"127.0.0.1", 7001};
+    const feed::push sent{at,
+                          base::config_version(9),
+                          {{base::config_version(7),
+                            base::config_version(9),
+                            {{3, 40, "new"}, {0, 2, ""}},
+                            0xfeedULL}},
+                          "whole"};
+    const auto got = peer::decode(peer::encode(sent));
+    REQUIRE(got.has_value());
+    const auto& push = std::get<feed::push>(*got);
+    CHECK(push.reply_to == at);
+    CHECK(push.version == sent.version);
+    CHECK(push.whole == sent.whole);
+    REQUIRE(push.deltas.size() == 1);
+    CHECK(push.deltas[0].from == sent.deltas[0].from);
+    CHECK(push.deltas[0].to == sent.deltas[0].to);
+    CHECK(push.deltas[0].patch == sent.deltas[0].patch);
+    CHECK(push.deltas[0].checksum == sent.deltas[0].checksum);
+
+    const auto pulled =
+        peer::decode(peer::encode(feed::pull{at, base::config_version(4)}));
+    REQUIRE(pulled.has_value());
+    CHECK(std::get<feed::pull>(*pulled).have == base::config_version(4));
+}
+
+TEST_CASE("a digest survives the wire") {
+    const base::endpoint at{"127.0.0.1", 7001};
+    feed::digest sent{base::instance_id("i-1"),
+                      at,
+                      base::config_version(9),
+                      std::chrono::milliseconds(17),
+                      {{base::region_id("khomas"),
+                        base::config_version(8),
+                        45,
+                        1,
+                        {base::instance_id("i-7")},
+                        3}}};
+    for (const bool confirmed : {true, false}) {
+        CAPTURE(confirmed);
+        if (!confirmed) {
+            sent.confirmed_ago.reset();
+        }
+        const auto got = peer::decode(peer::encode(sent));
+        REQUIRE(got.has_value());
+        const auto& back = std::get<feed::digest>(*got);
+        CHECK(back.sender == sent.sender);
+        CHECK(back.applied == sent.applied);
+        CHECK(back.confirmed_ago == sent.confirmed_ago);
+        CHECK(back.floors == sent.floors);
+    }
+}
+
 TEST_CASE("bytes that are no message are refused") {
     auto nowhere = sample();
     nowhere.peer_address = {"nowhere", 1};
@@ -41,6 +95,8 @@
          peer::encode(peer::heartbeat{sample(), {}, {}}).substr(0, 9)},
         {"an impossible address",
          peer::encode(peer::heartbeat{nowhere, {}, {}})},
+        {"a push from an impossible address",
+         peer::encode(feed::push{{"nowhere", 1}, {}, {}, {}})},
         {"too many bytes", std::string(peer::most_message_bytes + 1, 'x')},
     };
     for (const auto& r : rows) {
--- /dev/null
+++ b/pollenreel/peer/feed_codec.cpp
@@ -0,0 +1,134 @@
+#include "pollenreel/peer/feed_codec.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace pollenreel::peer {
+
+namespace {
+
+void fill(wire::ConfigurationDelta& to, const feed::delta& from) {
+    to.set_from(from.from.value());
+    to.set_to(from.to.value());
+    to.set_checksum(from.checksum);
+    for (const auto& p : from.patch) {
+        auto& piece = *to.add_pieces();
+        piece.set_offset(p.offset);
+        piece.set_length(p.length);
+        piece.set_literal(p.literal);
+    }
+}
+
+feed::delta read(const wire::ConfigurationDelta& from) {
+    feed::delta d{base::config_version(from.from()),
+                  base::config_version(from.to()),
+                  {},
+                  from.checksum()};
+    for (const auto& p : from.pieces()) {
+        d.patch.push_back({p.offset(), p.length(), p.literal()});
+    }
+    return d;
+}
+
+void fill(wire::RegionFloor& to, const feed::region_floor& from) {
+    to.set_region(from.region.str());
+    to.set_version(from.version.value());
+    to.set_members(from.members);
+    to.set_behind(from.behind);
+    for (const auto& m : from.missing) {
+        to.add_missing(m.str());
+    }
+    to.set_stamp(from.stamp);
+}
+
+feed::region_floor read(const wire::RegionFloor& from) {
+    feed::region_floor f{base::region_id(from.region()),
+                         base::config_version(from.version()),
+                         from.members(),
+                         from.behind(),
+                         {},
+                         from.stamp()};
+    for (const auto& m : from.missing()) {
+        f.missing.emplace_back(m);
+    }
+    return f;
+}
+
+// An age that a peer claims, without overflow.
+std::chrono::milliseconds read_age(std::uint64_t milliseconds) {
+    constexpr std::uint64_t most = 1ULL << 40;
+    return std::chrono::milliseconds(std::min(milliseconds, most));
+}
+
+} // namespace
+
+void fill(wire::ConfigurationPush& to, const feed::push& from) {
+    to.set_reply_to(from.reply_to.str());
+    to.set_version(from.version.value());
+    for (const auto& d : from.deltas) {
+        fill(*to.add_deltas(), d);
+    }
+    to.set_whole(from.whole);
+}
+
+void fill(wire::ConfigurationPull& to, const feed::pull& from) {
+    to.set_reply_to(from.reply_to.str());
+    to.set_have(from.have.value());
+}
+
+void fill(wire::ConfigurationDigest& to, const feed::digest& from) {
+    to.set_sender(from.sender.str());
+    to.set_reply_to(from.reply_to.str());
+    to.set_applied(from.applied.value());
+    if (from.confirmed_ago) {
+        to.set_confirmed_ago_ms(
+            static_cast<std::uint64_t>(from.confirmed_ago->count()));
+    }
+    for (const auto& f : from.floors) {
+        fill(*to.add_floors(), f);
+    }
+}
+
+std::optional<feed::push> read(const wire::ConfigurationPush& from) {
+    const auto reply_to = base::parse_endpoint(from.reply_to());
+    if (!reply_to) {
+        return std::nullopt;
+    }
+    feed::push p{reply_to.value(),
+                 base::config_version(from.version()),
+                 {},
+                 from.whole()};
+    for (const auto& d : from.deltas()) {
+        p.deltas.push_back(read(d));
+    }
+    return p;
+}
+
+std::optional<feed::pull> read(const wire::ConfigurationPull& from) {
+    const auto reply_to = base::parse_endpoint(from.reply_to());
+    if (!reply_to) {
+        return std::nullopt;
+    }
+    return feed::pull{reply_to.value(), base::config_version(from.have())};
+}
+
+std::optional<feed::digest> read(const wire::ConfigurationDigest& from) {
+    const auto reply_to = base::parse_endpoint(from.reply_to());
+    if (!reply_to) {
+        return std::nullopt;
+    }
+    feed::digest d{base::instance_id(from.sender()),
+                   reply_to.value(),
+                   base::config_version(from.applied()),
+                   {},
+                   {}};
+    if (from.has_confirmed_ago_ms()) {
+        d.confirmed_ago = read_age(from.confirmed_ago_ms());
+    }
+    for (const auto& f : from.floors()) {
+        d.floors.push_back(read(f));
+    }
+    return d;
+}
+
+} // namespace pollenreel::peer
--- a/pollenreel/peer/message.hpp
+++ b/pollenreel/peer/message.hpp
@@ -4,6 +4,7 @@
 
 #include "pollenreel/base/endpoint.hpp"
 #include "pollenreel/base/ids.hpp"
+#include "pollenreel/feed/messages.hpp"
 
 #include <cstdint>
 #include <string>
@@ -31,16 +32,6 @@
     std::vector<member> known;
 };
 
-struct configuration_request {
-    base::endpoint reply_to;
-    base::config_version have;
-};
-
-struct configuration_push {
-    std::string encoded; // declarations::encode
-};
-
-using message =
-    std::variant<heartbeat, configuration_request, configuration_push>;
+using message = std::variant<heartbeat, feed::push, feed::pull, feed::digest>;
 
 } // namespace pollenreel::peer
