--- a/pollenreel/control/answers.cpp
+++ b/pollenreel/control/answers.cpp
@@ -35,6 +35,21 @@
             {"current", m.applied >= current}};
 }
 
+template <class Id>
+json::array names(const std::vector<Id>& ids) {
+    json::array list;
+    for (const auto& id : ids) {
+        list.emplace_back(id.str());
+    }
+    return list;
+}
+
+// How long ago the configuration was known to be the newest.
+json::value confirmed_json(const feed::feed& feed, base::time_point now) {
+    const auto ago = feed.confirmed_ago(now);
+    return ago ? json::value(ago->count()) : json::value(nullptr);
+}
+
 // "2026-03-01 07:30:12Z".
 std::string utc_text(std::chrono::sys_time<std::chrono::milliseconds> at) {
     return fmt::format("{:%F %T}Z",
@@ -94,21 +109,22 @@
 status_json(const declarations::configuration& current,
             const peer::member& self,
             const std::map<base::instance_id, known_member>& members,
-            base::time_point now) {
+            base::time_point now, const feed::feed& feed) {
     json::array list;
-    bool in_force = true;
     for (const auto& [id, m] : members) {
-        auto one = member_json(m, now, current.version);
-        const bool counts = one.at("state") == "live";
-        in_force = in_force && (!counts || one.at("current").as_bool());
-        list.emplace_back(std::move(one));
+        list.emplace_back(member_json(m, now, current.version));
     }
+    const auto coverage = feed.coverage_of(current.version);
     return json::serialize(
         json::object{{"instance", self.instance.str()},
                      {"version", current.version.value()},
                      {"author", current.author},
                      {"summary", current.summary},
-                     {"in_force", in_force},
+                     {"in_force", coverage.in_force},
+                     {"behind", coverage.behind},
+                     {"missing", names(coverage.missing)},
+                     {"unheard", names(coverage.unheard)},
+                     {"confirmed_ms_ago", confirmed_json(feed, now)},
                      {"commanded", declarations::to_json(current.commanded)},
                      {"members", list}});
 }
