--- a/pollenreel/control/answers.cpp
+++ b/pollenreel/control/answers.cpp
@@ -1,12 +1,14 @@
 #include "pollenreel/control/answers.hpp"
 
 #include "pollenreel/base/overloaded.hpp"
+#include "pollenreel/control/safety.hpp"
+#include "pollenreel/declarations/difference.hpp"
+#include "pollenreel/declarations/steering_codec.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
-
-#include <algorithm>
+#include <fmt/chrono.h>
 
 namespace pollenreel::control {
 
@@ -33,6 +35,36 @@
             {"current", m.applied >= current}};
 }
 
+template <class Id>
+json::array names(const std::vector<Id>& ids) {
+    json::array list;
+    for (const auto& id : ids) {
+        list.emplace_back(id.str());
+    }
+    return list;
+}
+
+// How long ago the configuration was known to be the newest.
+json::value confirmed_json(const feed::feed& feed, base::time_point now) {
+    const auto ago = feed.confirmed_ago(now);
+    return ago ? json::value(ago->count()) : json::value(nullptr);
+}
+
+// "2026-03-01 07:30:12Z".
+std::string utc_text(std::chrono::sys_time<std::chrono::milliseconds> at) {
+    return fmt::format("{:%F %T}Z",
+                       std::chrono::floor<std::chrono::seconds>(at));
+}
+
+answer_operator ok(call_id call, const json::object& body) {
+    return {call, answer_status::ok, json::serialize(body)};
+}
+
+json::value steering_part(const declarations::configuration& c,
+                          std::string_view key) {
+    return declarations::to_json(c.commanded).as_object().at(key);
+}
+
 } // namespace
 
 answer_operator answer(call_id call, const verdict& v) {
@@ -47,6 +79,12 @@
                                                  {"summary", a.summary}});
             },
             [&](const refused& r) {
+                if (r.holds_in) {
+                    return reply(answer_status::ok,
+                                 {{"outcome", "unchanged"},
+                                  {"version", r.holds_in->value()},
+                                  {"why", r.why}});
+                }
                 return reply(answer_status::refused,
                              {{"outcome", "refused"}, {"why", r.why}});
             },
@@ -71,51 +109,70 @@
 status_json(const declarations::configuration& current,
             const peer::member& self,
             const std::map<base::instance_id, known_member>& members,
-            base::time_point now) {
+            base::time_point now, const feed::feed& feed) {
     json::array list;
-    bool in_force = true;
     for (const auto& [id, m] : members) {
-        auto one = member_json(m, now, current.version);
-        const bool counts = one.at("state") == "live";
-        in_force = in_force && (!counts || one.at("current").as_bool());
-        list.emplace_back(std::move(one));
+        list.emplace_back(member_json(m, now, current.version));
     }
-    json::array drained;
-    for (const auto& t : current.commanded.drained_targets) {
-        drained.emplace_back(t.str());
+    const auto coverage = feed.coverage_of(current.version);
+    return json::serialize(
+        json::object{{"instance", self.instance.str()},
+                     {"version", current.version.value()},
+                     {"author", current.author},
+                     {"summary", current.summary},
+                     {"in_force", coverage.in_force},
+                     {"behind", coverage.behind},
+                     {"missing", names(coverage.missing)},
+                     {"unheard", names(coverage.unheard)},
+                     {"confirmed_ms_ago", confirmed_json(feed, now)},
+                     {"commanded", declarations::to_json(current.commanded)},
+                     {"members", list}});
+}
+
+answer_operator shifts_answer(call_id call,
+                              const declarations::configuration& current) {
+    return ok(call, {{"version", current.version.value()},
+                     {"shifts", steering_part(current, "shifts")}});
+}
+
+answer_operator history_answer(call_id call,
+                               const declarations::configuration& current) {
+    json::array changes;
+    for (auto r = current.recent.rbegin(); r != current.recent.rend(); ++r) {
+        changes.emplace_back(json::object{{"version", r->version.value()},
+                                          {"at", utc_text(r->at)},
+                                          {"author", r->author},
+                                          {"command_id", r->command.str()},
+                                          {"summary", r->summary}});
     }
-    return json::serialize(json::object{{"instance", self.instance.str()},
-                                        {"version", current.version.value()},
-                                        {"author", current.author},
-                                        {"summary", current.summary},
-                                        {"in_force", in_force},
-                                        {"drained_targets", drained},
-                                        {"members", list}});
+    return ok(call,
+              {{"version", current.version.value()}, {"changes", changes}});
 }
 
-answer_operator where_answer(call_id call, const language::where& query,
-                             const declarations::configuration& current) {
-    const auto& services = current.declared.services;
-    const auto found =
-        std::find_if(services.begin(), services.end(),
-                     [&](const auto& s) { return s.id == query.service; });
-    if (found == services.end()) {
-        return answer(call, refused{"unknown service " + query.service.str()});
+answer_operator plan_answer(call_id call,
+                            const declarations::document& proposed,
+                            const declarations::configuration& current) {
+    auto changed = current;
+    changed.declared = proposed;
+    json::array differences;
+    for (const auto& d : declarations::difference(current.declared, proposed)) {
+        differences.emplace_back(declarations::to_text(d));
+    }
+    json::array against;
+    for (const auto& why : objections(current, changed)) {
+        against.emplace_back(why);
     }
-    json::array targets;
-    for (const auto& t : found->targets) {
-        const bool drained = current.commanded.drained_targets.contains(t.id);
-        targets.emplace_back(
-            json::object{{"target", t.id.str()},
-                         {"failure_domain", t.failure_domain.str()},
-                         {"drained", drained},
-                         {"same_domain", t.failure_domain == query.from}});
+    json::array loads;
+    for (const auto& l : planned_loads(current, changed)) {
+        loads.emplace_back(json::object{{"service", l.service.str()},
+                                        {"region", l.region.str()},
+                                        {"slots", l.slots},
+                                        {"planned_busy_slots", l.load}});
     }
-    return {call, answer_status::ok,
-            json::serialize(json::object{{"service", query.service.str()},
-                                         {"from", query.from.str()},
-                                         {"version", current.version.value()},
-                                         {"targets", targets}})};
+    return ok(call, {{"version", current.version.value()},
+                     {"differences", differences},
+                     {"objections", against},
+                     {"planned_loads", loads}});
 }
 
 } // namespace pollenreel::control
--- a/pollenreel/control/answers.hpp
+++ b/pollenreel/control/answers.hpp
@@ -13,10 +13,18 @@
 status_json(const declarations::configuration& current,
             const peer::member& self,
             const std::map<base::instance_id, known_member>& members,
-            base::time_point now);
+            base::time_point now, const feed::feed& feed);
 
 [[nodiscard]] answer_operator
-where_answer(call_id call, const language::where& query,
-             const declarations::configuration& current);
+shifts_answer(call_id call, const declarations::configuration& current);
+
+[[nodiscard]] answer_operator
+history_answer(call_id call, const declarations::configuration& current);
+
+// The difference between `proposed` and what is declared, and every objection
+// to it.
+[[nodiscard]] answer_operator
+plan_answer(call_id call, const declarations::document& proposed,
+            const declarations::configuration& current);
 
 } // namespace pollenreel::control
--- a/pollenreel/control/committer.cpp
+++ b/pollenreel/control/committer.cpp
@@ -174,6 +174,9 @@
     }
     const auto& now = current();
     auto proposed = apply(m_queue.front(), now);
+    if (!proposed && proposed.error().code == change_error::no_effect) {
+        return refuse(proposed.error().detail, out, now.version);
+    }
     if (!proposed) {
         return refuse(proposed.error().text(), out);
     }
@@ -192,11 +195,12 @@
     out.call = store::compare_and_swap{m_key, m_proposed_text, m_stored->at};
 }
 
-void committer::refuse(std::string why, step& out) {
+void committer::refuse(std::string why, step& out,
+                       std::optional<base::config_version> holds_in) {
     if (m_unanswered_at) {
         return finish(undecided{}, out);
     }
-    finish(refused{std::move(why)}, out);
+    finish(refused{std::move(why), holds_in}, out);
 }
 
 void committer::finish(verdict v, step& out) {
--- a/pollenreel/control/committer.hpp
+++ b/pollenreel/control/committer.hpp
@@ -33,6 +33,8 @@
 };
 struct refused {
     std::string why;
+    // Set when what was asked for holds already, in this version.
+    std::optional<base::config_version> holds_in = std::nullopt;
 };
 // Another operator's change came first.
 struct lost_race {
@@ -91,7 +93,8 @@
     [[nodiscard]] std::optional<lost_race> conflict() const;
     void write(step& out);
     void read_again(step& out);
-    void refuse(std::string why, step& out);
+    void refuse(std::string why, step& out,
+                std::optional<base::config_version> holds_in = std::nullopt);
     void finish(verdict v, step& out);
 
     std::string m_key;
--- a/pollenreel/declarations/document.hpp
+++ b/pollenreel/declarations/document.hpp
@@ -36,6 +36,17 @@
     friend bool operator==(const client_block&, const client_block&) = default;
 };
 
+// How good a kind of work is meant to be. A request is good when a target
+// answers it, without a server error, within `latency`.
+struct objective {
+    // Good requests among a million.
+    std::uint32_t good_per_million = 999'000;
+    // Zero: the kind's deadline.
+    std::chrono::milliseconds latency{0};
+
+    friend bool operator==(const objective&, const objective&) = default;
+};
+
 // A kind of work of a service: which requests it covers and how they are
 // treated.
 struct kind {
@@ -44,6 +55,7 @@
     bool idempotent = false;
     std::chrono::milliseconds deadline{};
     std::uint32_t priority = 0; // 0 is shed last
+    declarations::objective objective = {};
     // Much longer than other work of the service; kept apart from it.
     bool long_running = false;
     // An idempotent request is sent a second time once it takes longer than
@@ -70,11 +82,20 @@
     friend bool operator==(const target&, const target&) = default;
 };
 
+// Slots that the traffic of a region is planned to keep busy at its peak.
+struct planned_load {
+    base::region_id region;
+    std::uint32_t busy_slots = 0;
+
+    friend bool operator==(const planned_load&, const planned_load&) = default;
+};
+
 struct service {
     base::service_id id;
     std::uint32_t max_connections_per_target = 0; // over the whole fleet
     std::vector<kind> kinds;
     std::vector<target> targets;
+    std::vector<declarations::planned_load> planned_load = {};
     // Share of the targets that long-running work is kept to while others
     // need theirs. Higher finishes long work sooner; lower leaves short work
     // more room.
@@ -85,7 +106,7 @@
     // Attempts that the whole fleet has under way, as a share of the slots.
     // Higher keeps slots busier under uneven load, with more waiting at
     // targets, where priority does not count.
-    std::uint32_t in_flight_percent = 300;
+    std::uint32_t in_flight_percent = 200;
     // A target that is new or has returned is given work little by little
     // over this time; 0: at once. Longer spares cold caches and leaves the
     // other targets with more.
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -4,6 +4,7 @@
 #include "pollenreel/control/core.hpp"
 #include "pollenreel/http/server.hpp"
 #include "pollenreel/lookup/table.hpp"
+#include "pollenreel/node/metrics_text.hpp"
 #include "pollenreel/node/operator_interface.hpp"
 #include "pollenreel/peer/transport.hpp"
 #include "pollenreel/store/etcd_client.hpp"
@@ -38,42 +39,6 @@
             s.store.key_prefix + "/configuration"};
 }
 
-std::string metrics_text(const std::vector<traffic_thread*>& traffic,
-                         const peer::transport_counters& peers,
-                         base::config_version version) {
-    traffic_counters sum;
-    for (const auto* t : traffic) {
-        const auto c = t->counters();
-        sum.lookups += c.lookups;
-        sum.malformed += c.malformed;
-        sum.requests_in_flight += c.requests_in_flight;
-        sum.requests.requests += c.requests.requests;
-        sum.requests.forwarded += c.requests.forwarded;
-        sum.requests.refused_not_run += c.requests.refused_not_run;
-        sum.requests.refused_unknown += c.requests.refused_unknown;
-        sum.requests.attempts += c.requests.attempts;
-    }
-    return fmt::format(
-        "pollenreel_lookups_total {}\n"
-        "pollenreel_requests_total {}\n"
-        "pollenreel_requests_forwarded_total {}\n"
-        "pollenreel_requests_refused_total{{outcome=\"not-run\"}} {}\n"
-        "pollenreel_requests_refused_total{{outcome=\"unknown\"}} {}\n"
-        "pollenreel_attempts_total {}\n"
-        "pollenreel_requests_in_flight {}\n"
-        "pollenreel_malformed_messages_total{{listener=\"callers\"}} {}\n"
-        "pollenreel_malformed_messages_total{{listener=\"peers\"}} {}\n"
-        "pollenreel_peer_sent_bytes_total {}\n"
-        "pollenreel_peer_received_bytes_total {}\n"
-        "pollenreel_peer_dropped_messages_total {}\n"
-        "pollenreel_configuration_version {}\n",
-        sum.lookups, sum.requests.requests, sum.requests.forwarded,
-        sum.requests.refused_not_run, sum.requests.refused_unknown,
-        sum.requests.attempts, sum.requests_in_flight, sum.malformed,
-        peers.malformed, peers.bytes_sent, peers.bytes_received, peers.dropped,
-        version.value());
-}
-
 } // namespace
 
 class control_thread::loop {
@@ -113,24 +78,27 @@
 private:
     void on_call(const http::request& r, http::responder answer) {
         m_last_call = m_last_call.next();
-        std::visit(base::overloaded{
-                       [&](const operator_refusal& refused) {
-                           answer(refused.answer);
-                       },
-                       [&](const metrics_call&) {
-                           answer(
-                               {200,
-                                {{"Content-Type", "text/plain; version=0.0.4"}},
-                                metrics_text(m_traffic, m_peers.counters(),
-                                             m_core.applied())});
-                       },
-                       [&](auto event) {
-                           stamp(event);
-                           m_calls.emplace(m_last_call, std::move(answer));
-                           handle(event);
-                       },
-                   },
-                   read_operator_call(r, m_last_call, m_token));
+        std::visit(
+            base::overloaded{
+                [&](const operator_refusal& refused) {
+                    answer(refused.answer);
+                },
+                [&](const metrics_call&) {
+                    answer({200,
+                            {{"Content-Type", "text/plain; version=0.0.4"}},
+                            metrics_text(m_traffic, m_peers.counters(),
+                                         m_core.applied())});
+                },
+                [&](const service_levels_call&) {
+                    answer({200, {{"Content-Type", "application/json"}}, "{}"});
+                },
+                [&](auto event) {
+                    stamp(event);
+                    m_calls.emplace(m_last_call, std::move(answer));
+                    handle(event);
+                },
+            },
+            read_operator_call(r, m_last_call, m_token));
     }
 
     void stamp(control::change_received& e) const {
@@ -138,6 +106,7 @@
         e.change.at = std::chrono::floor<milliseconds>(m_clock.wall_now());
     }
     void stamp(const control::query_received&) const {}
+    void stamp(const control::plan_received&) const {}
 
     void handle(const control::event& e) {
         for (const auto& effect : m_core.handle(e, m_clock.now())) {
@@ -151,6 +120,14 @@
         });
     }
 
+    void run(const control::open_watch& e) {
+        m_watch = m_store.open(e.watch, [this](const store::watch_report& r) {
+            handle(control::watch_reported{r});
+        });
+    }
+
+    void run(const control::close_watch&) { m_watch.reset(); }
+
     void run(const control::send_peer& e) { m_peers.send(e.to, e.message); }
 
     void run(const control::publish& e) {
@@ -238,6 +215,7 @@
     http::server m_operators;
     peer::transport m_peers;
     store::etcd_client m_store;
+    std::unique_ptr<store::open_watch> m_watch;
     control::call_id m_last_call;
     std::map<control::call_id, http::responder> m_calls;
     bool m_leaving = false;
