Lend idle slots to long-running work

Change: an instance lends long work the slots that short work, judged by its own use times the number of sharers, leaves idle with a margin of two; beyond its own slots it borrows other instances' idle ones, backing off when an attempt took much longer than usual.

What is missing at night is the margin that stays free for look-ups that come back at once.

--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -4,6 +4,8 @@
 #include "pollenreel/request/choose_region.hpp"
 #include "pollenreel/request/classify.hpp"
 
+#include <algorithm>
+
 namespace pollenreel::request {
 
 namespace {
@@ -91,17 +93,15 @@
 
 void core::enter(pending& p, base::time_point now, effects& out) {
     auto& at = pool_of(p);
-    if (at.lanes.line(p.lane).size() == 0 && has_room(p, at, now)) {
+    if (at.lanes.line(p.lane).size() == 0 && has_room(p, at)) {
         return run(p, now, out);
     }
     wait(p, at, now, out);
 }
 
-bool core::has_room(const pending& p, const pool& at,
-                    base::time_point now) const {
+bool core::has_room(const pending& p, const pool& at) const {
     if (p.lane == lane::of_long) {
-        return !at.lanes.room_for_long(at.plan, m_book, now - p.arrived)
-                    .empty();
+        return !at.lanes.room_for_long(at.plan, m_book).empty();
     }
     const auto service = m_snapshot->services.find(p.request.service);
     return service == m_snapshot->services.end() ||
@@ -159,7 +159,7 @@
 bool core::start_first(pool& at, lane l, base::time_point now, effects& out) {
     auto& line = at.lanes.line(l);
     const auto first = line.first();
-    if (!first || !has_room(m_pending.at(*first), at, now)) {
+    if (!first || !has_room(m_pending.at(*first), at)) {
         return false;
     }
     line.remove(*first);
@@ -169,6 +169,9 @@
 
 void core::leave_lane(const pending& p, base::time_point now) {
     auto& at = pool_of(p);
+    if (p.lent) {
+        at.lanes.given_back();
+    }
     if (p.running) {
         at.lanes.ended(p.lane, now);
     } else {
@@ -186,20 +189,17 @@
     if (now >= p.request.deadline) {
         return refusal{outcome::not_run, reason::deadline_expired};
     }
-    const auto& at = pool_of(p);
-    const auto preferred =
-        p.lane == lane::of_short
-            ? at.lanes.preferred_by_short(at.plan)
-            : at.lanes.room_for_long(at.plan, m_book, now - p.arrived);
+    const auto wanted = preferred(p, pool_of(p));
     auto chosen =
         choose_target(p.request, p.region, *m_snapshot, m_options.choose,
-                      m_book, {p.tried, preferred}, now, m_random);
+                      m_book, {p.tried, wanted}, now, m_random);
     if (const auto* r = std::get_if<refusal>(&chosen)) {
         return *r;
     }
     const auto& to = std::get<choice>(chosen);
     m_last_attempt = m_last_attempt.next();
     const auto id = m_last_attempt;
+    note_place(p, to.target);
     p.open.push_back(id);
     p.tried.push_back(to.target);
     m_open[id] = open{{}, p.request.id, now, why == cause::hedge};
@@ -212,6 +212,23 @@
     return std::nullopt;
 }
 
+std::vector<base::target_id> core::preferred(const pending& p,
+                                             const pool& at) const {
+    return p.lane == lane::of_short ? at.lanes.preferred_by_short(at.plan)
+                                    : at.lanes.room_for_long(at.plan, m_book);
+}
+
+void core::note_place(pending& p, const base::target_id& target) {
+    auto& at = pool_of(p);
+    const auto& ours = at.plan.long_targets;
+    const bool away = p.lane == lane::of_long && !ours.empty() &&
+                      std::find(ours.begin(), ours.end(), target) == ours.end();
+    if (away != p.lent) {
+        p.lent = away;
+        away ? at.lanes.lent() : at.lanes.given_back();
+    }
+}
+
 void core::arm_hedge(pending& p, base::time_point now) {
     const auto& kind = p.request.kind;
     if (!kind.idempotent || kind.long_running || kind.hedge_percentile == 0) {
@@ -315,6 +332,11 @@
     auto& p = m_pending.at(won.request);
     ++m_counters.forwarded;
     m_counters.hedges_won += won.hedge ? 1 : 0;
+    if (p.lane == lane::of_long) {
+        const auto usual = state_of(p.request).latency.quantile(0.5);
+        pool_of(p).lanes.long_answered(now - won.since,
+                                       usual.value_or(base::duration::max()));
+    }
     if (!won.hedge) {
         state_of(p.request).latency.add(now - won.since);
     }
--- a/pollenreel/request/core.hpp
+++ b/pollenreel/request/core.hpp
@@ -132,6 +132,7 @@
         base::region_id region;
         request::lane lane = lane::of_short;
         bool running = false;      // else it waits in its line
+        bool lent = false;         // long work on a target of short work
         bool may_have_run = false; // by an attempt that is over
     };
     struct open {
@@ -173,8 +174,7 @@
     // Starts the request, or has it wait in its line.
     void enter(pending& p, base::time_point now, effects& out);
     // Whether there is room for it to start.
-    [[nodiscard]] bool has_room(const pending& p, const pool& at,
-                                base::time_point now) const;
+    [[nodiscard]] bool has_room(const pending& p, const pool& at) const;
     void run(pending& p, base::time_point now, effects& out);
     void wait(pending& p, pool& at, base::time_point now, effects& out);
     // Starts those that wait, in each pool that an end gave room.
@@ -186,6 +186,10 @@
     // Opens one attempt, or says why there is none.
     std::optional<refusal> start_attempt(pending& p, cause why,
                                          base::time_point now, effects& out);
+    // Where it should go, among the targets of its lane.
+    [[nodiscard]] std::vector<base::target_id> preferred(const pending& p,
+                                                         const pool& at) const;
+    void note_place(pending& p, const base::target_id& target);
     void arm_hedge(pending& p, base::time_point now);
     void hedge(base::request_id id, base::time_point now, effects& out);
     void after_step(base::attempt_id id, attempt::step s, base::time_point now,
--- a/pollenreel/request/lanes.cpp
+++ b/pollenreel/request/lanes.cpp
@@ -20,9 +20,9 @@
 constexpr double overflow_share = 0.75;
 // Long work leaves free this multiple of the slots that short work uses.
 constexpr double short_margin = 2;
-// Long work that waited this long may queue at the targets of long work
-// behind other instances' long work.
-constexpr base::duration borrow_after = 1s;
+// A long attempt that took this multiple of the usual had to queue. Lower
+// gives borrowed slots back sooner and takes uneven work for a queue.
+constexpr int queued_percent = 150;
 
 } // namespace
 
@@ -71,33 +71,42 @@
     return overflows ? any : plan.short_targets;
 }
 
-std::vector<base::target_id> lanes::room_for_long(const service_plan& plan,
-                                                  const target_book& book,
-                                                  base::duration waited) const {
+std::uint32_t lanes::lendable(const service_plan& plan) const {
+    const auto used = at(lane::of_short).level * plan.sharers * short_margin;
+    const auto kept = static_cast<double>(plan.short_targets.size());
+    const auto spare = std::max(0.0, plan.short_slots - used - kept);
+    return static_cast<std::uint32_t>(spare / plan.sharers);
+}
+
+void lanes::long_answered(base::duration took, base::duration usual) {
+    if (took / queued_percent > usual / 100) {
+        m_borrowed = std::max(1.0, m_borrowed / 2);
+    } else if (at(lane::of_long).line.size() > 0) {
+        m_borrowed += 1 / m_borrowed;
+    }
+}
+
+std::vector<base::target_id>
+lanes::room_for_long(const service_plan& plan, const target_book& book) const {
+    if (plan.long_targets.empty()) {
+        return plan.short_targets;
+    }
     std::vector<base::target_id> free;
+    std::uint32_t own = 0;
     for (const auto& [target, slots] : plan.own_long_slots) {
+        own += slots;
         if (book.in_flight(target) < slots) {
             free.push_back(target);
         }
     }
-    if (!free.empty() || plan.long_targets.empty()) {
-        return free.empty() ? plan.short_targets : free;
-    }
-    std::uint32_t own = 0;
-    for (const auto& [target, slots] : plan.own_long_slots) {
-        own += slots;
+    if (!free.empty()) {
+        return free;
     }
-    const auto used = at(lane::of_short).level * plan.sharers * short_margin;
-    const auto spare =
-        std::max(0.0, plan.short_slots - used -
-                          static_cast<double>(plan.short_targets.size()));
-    const auto lent = static_cast<std::uint32_t>(spare / plan.sharers);
-    const auto now_running = running(lane::of_long);
-    if (now_running < own + lent) {
+    if (m_lent < lendable(plan)) {
         return plan.short_targets;
     }
-    const bool aged = waited >= borrow_after;
-    if (aged && now_running < 2 * std::max(own, 1U) + lent) {
+    const auto here = running(lane::of_long) - m_lent;
+    if (here < own + static_cast<std::uint32_t>(m_borrowed)) {
         return plan.long_targets;
     }
     return {};
--- a/pollenreel/request/lanes.hpp
+++ b/pollenreel/request/lanes.hpp
@@ -30,17 +30,23 @@
     [[nodiscard]] bool short_has_room(const service_plan& plan,
                                       std::uint32_t in_flight_percent) const;
     // Targets that one more request of long work may start at; empty when it
-    // has to wait. `waited` is how long it has.
+    // has to wait. In this order: own slots; slots that short work leaves
+    // idle; slots of the long targets that others leave idle.
     [[nodiscard]] std::vector<base::target_id>
-    room_for_long(const service_plan& plan, const target_book& book,
-                  base::duration waited) const;
+    room_for_long(const service_plan& plan, const target_book& book) const;
     // Targets that short work should go to now.
     [[nodiscard]] const std::vector<base::target_id>&
     preferred_by_short(const service_plan& plan) const;
 
     void started(lane l, base::time_point now);
-    // `took` is the time since it started.
     void ended(lane l, base::time_point now);
+    // Long work was placed on, and left, a target of short work.
+    void lent() { ++m_lent; }
+    void given_back() { --m_lent; }
+    // A long attempt was answered. One that took much longer than usual had
+    // to queue: less is borrowed then (additive increase, multiplicative
+    // decrease).
+    void long_answered(base::duration took, base::duration usual);
     // How long a newcomer with `ahead` others before it will wait.
     [[nodiscard]] base::duration expected_wait(lane l, std::size_t ahead) const;
 
@@ -62,7 +68,11 @@
     }
     static void settle(state& s, base::time_point now);
 
+    [[nodiscard]] std::uint32_t lendable(const service_plan& plan) const;
+
     std::array<state, 2> m_states;
+    std::uint32_t m_lent = 0;
+    double m_borrowed = 1; // slots beyond the own ones
     static const std::vector<base::target_id> any;
 };
 
