Prove at most once against the targets' own counts

Cause: nothing showed that not-run is never said of a request that ran once several attempts of a request may be open.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -29,6 +29,8 @@
          request::measure_tail},
         {"short_behind_long", true, "look-up latency beside long work",
          request::measure_short_behind_long},
+        {"at_most_once", true, "faults at every step of an attempt",
+         request::measure_at_most_once},
     };
     return all;
 }
--- a/pollenreel/request/benchmarks.hpp
+++ b/pollenreel/request/benchmarks.hpp
@@ -60,4 +60,8 @@
 // Look-up latency beside long work, and the rate of the long work.
 [[nodiscard]] measure::results measure_short_behind_long();
 
+// Faults at every step of an attempt against the targets' own counts. The
+// baseline repeats every failed attempt.
+[[nodiscard]] measure::results measure_at_most_once();
+
 } // namespace pollenreel::request
