Answer service levels from each instance; leave drained instances unnamed

Cause: burn had no counts to stand on, and 'drain instance' changed nothing. Change: /v1/service-levels; look-ups leave drained instances out unless none would be left. Checked: node_test, core_test.

--- a/pollenreel/control/core.cpp
+++ b/pollenreel/control/core.cpp
@@ -28,6 +28,19 @@
     return {m.instance, m.failure_domain, m.caller_address};
 }
 
+// Look-ups do not name drained instances; were all of them drained, an answer
+// without any would help no caller.
+void leave_out_drained(const declarations::steering& commanded,
+                       std::vector<routing::instance>& usable) {
+    auto kept = usable;
+    std::erase_if(kept, [&](const auto& i) {
+        return commanded.drained_instances.contains(i.id);
+    });
+    if (!kept.empty()) {
+        usable = std::move(kept);
+    }
+}
+
 } // namespace
 
 core::core(identity who)
@@ -201,6 +214,7 @@
     for (const auto& m : m_members.usable(now)) {
         usable.push_back(as_instance(m.member));
     }
+    leave_out_drained(m_configuration.commanded, usable);
     if (usable == m_published) {
         return;
     }
--- a/pollenreel/control/core.hpp
+++ b/pollenreel/control/core.hpp
@@ -98,6 +98,16 @@
     [[nodiscard]] base::config_version applied() const {
         return m_configuration.version;
     }
+    [[nodiscard]] const declarations::configuration& configuration() const {
+        return m_configuration;
+    }
+    [[nodiscard]] const base::instance_id& self() const {
+        return m_who.self.instance;
+    }
+    // Empty as long as no configuration declares this failure domain.
+    [[nodiscard]] const base::region_id& own_region() const {
+        return m_snapshot->region;
+    }
 
 private:
     void on(const tick& e, base::time_point now, effects& out);
--- a/pollenreel/control/core_test.cpp
+++ b/pollenreel/control/core_test.cpp
@@ -89,3 +89,38 @@
     leaving.leaving = true;
     CHECK(instances(hear(leaving, start + 3s)) == 1);
 }
+
+TEST_CASE("a drained instance is no longer named, unless none would be left") {
+    struct row {
+        const char* name;
+        std::vector<const char*> drained;
+        std::size_t named;
+    };
+    const row rows[] = {
+        {"one of two", {"a"}, 1},
+        {"the other", {"b"}, 1},
+        {"both", {"a", "b"}, 2},
+        {"an unknown one", {"x"}, 2},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        control::core c({named("a", 7000), {}, "k"});
+        (void)c.handle(control::peer_received{peer::heartbeat{
+                           named("b", 7001), base::config_version(0), {}}},
+                       start);
+        auto drained = version(1);
+        for (const auto* id : r.drained) {
+            drained.commanded.drained_instances.emplace(id);
+        }
+        const auto out =
+            c.handle(control::peer_received{peer::configuration_push{
+                         declarations::encode(drained)}},
+                     start);
+        for (const auto& e : out) {
+            if (const auto* p = std::get_if<control::publish>(&e)) {
+                CHECK(p->snapshot->instances.size() == r.named);
+            }
+        }
+        CHECK(count<control::publish>(out) == 1);
+    }
+}
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -4,6 +4,7 @@
 #include "pollenreel/control/core.hpp"
 #include "pollenreel/http/server.hpp"
 #include "pollenreel/lookup/table.hpp"
+#include "pollenreel/node/level_keeper.hpp"
 #include "pollenreel/node/metrics_text.hpp"
 #include "pollenreel/node/operator_interface.hpp"
 #include "pollenreel/peer/transport.hpp"
@@ -12,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json/serialize.hpp>
 #include <fmt/format.h>
 
 #include <csignal>
@@ -78,27 +80,29 @@
 private:
     void on_call(const http::request& r, http::responder answer) {
         m_last_call = m_last_call.next();
-        std::visit(
-            base::overloaded{
-                [&](const operator_refusal& refused) {
-                    answer(refused.answer);
-                },
-                [&](const metrics_call&) {
-                    answer({200,
-                            {{"Content-Type", "text/plain; version=0.0.4"}},
-                            metrics_text(m_traffic, m_peers.counters(),
-                                         m_core.applied())});
-                },
-                [&](const service_levels_call&) {
-                    answer({200, {{"Content-Type", "application/json"}}, "{}"});
-                },
-                [&](auto event) {
-                    stamp(event);
-                    m_calls.emplace(m_last_call, std::move(answer));
-                    handle(event);
-                },
-            },
-            read_operator_call(r, m_last_call, m_token));
+        std::visit(base::overloaded{
+                       [&](const operator_refusal& refused) {
+                           answer(refused.answer);
+                       },
+                       [&](const metrics_call&) {
+                           answer(
+                               {200,
+                                {{"Content-Type", "text/plain; version=0.0.4"}},
+                                metrics_text(m_traffic, m_peers.counters(),
+                                             m_core.applied())});
+                       },
+                       [&](const service_levels_call&) {
+                           answer({200,
+                                   {{"Content-Type", "application/json"}},
+                                   service_levels()});
+                       },
+                       [&](auto event) {
+                           stamp(event);
+                           m_calls.emplace(m_last_call, std::move(answer));
+                           handle(event);
+                       },
+                   },
+                   read_operator_call(r, m_last_call, m_token));
     }
 
     void stamp(control::change_received& e) const {
@@ -138,8 +142,22 @@
         }
     }
 
+    std::string service_levels() {
+        observe_levels();
+        return boost::json::serialize(report::to_json(m_levels.read(
+            m_core.self(), m_core.configuration(), m_clock.now())));
+    }
+
+    void observe_levels() {
+        m_levels.observe(readings_of(m_traffic), m_core.own_region(),
+                         m_clock.now());
+    }
+
     void tick() {
         handle(control::tick{});
+        if (m_levels.due(m_clock.now())) {
+            observe_levels();
+        }
         m_tick.expires_after(control::tick_period);
         m_tick.async_wait([this](const boost::system::error_code& e) {
             if (!e) {
@@ -209,6 +227,7 @@
     store::etcd_client m_store;
     control::call_id m_last_call;
     std::map<control::call_id, http::responder> m_calls;
+    level_keeper m_levels;
     bool m_leaving = false;
 };
 
