--- a/cli/instance_client.cpp
+++ b/cli/instance_client.cpp
@@ -32,7 +32,8 @@
 
 } // namespace
 
-instance_client::instance_client(base::endpoint to, credentials who)
+instance_client::instance_client(std::vector<base::endpoint> to,
+                                 credentials who)
     : m_to(std::move(to)), m_who(std::move(who)) {}
 
 reply instance_client::call(std::string method, std::string path,
@@ -44,15 +45,27 @@
     r.headers = {{"Authorization", "Bearer " + m_who.token},
                  {"Pollenreel-Author", m_who.author},
                  {"Pollenreel-Command-Id", m_who.command_id}};
-    const progress waiting("waiting for " + m_to.str());
-    const auto answer = http::call_and_wait(m_to, r, call_timeout,
-                                            {8 * 1024, most_answer_bytes});
+    reply last;
+    for (const auto& to : m_to) {
+        last = call_one(to, r);
+        if (last.code != exit_code::unreachable) {
+            return last;
+        }
+    }
+    return last;
+}
+
+reply instance_client::call_one(const base::endpoint& to,
+                                const http::request& r) const {
+    const progress waiting("waiting for " + to.str());
+    const auto answer =
+        http::call_and_wait(to, r, call_timeout, {8 * 1024, most_answer_bytes});
     if (!answer) {
         const bool not_received =
             answer.error().code ==
             http::make_error_code(http::error::connect_failed);
         return {not_received ? exit_code::unreachable : exit_code::unknown,
-                nullptr, answer.error().text()};
+                nullptr, to.str() + ": " + answer.error().text()};
     }
     boost::system::error_code bad;
     auto parsed = boost::json::parse(answer.value().body, bad);
--- a/cli/instance_client.hpp
+++ b/cli/instance_client.hpp
@@ -1,4 +1,4 @@
-// Calls one instance's operators' listener.
+// Calls the operators' listener of the first instance that can be reached.
 #pragma once
 
 #include "cli/exit_code.hpp"
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace pollenreel::cli {
 
@@ -27,9 +28,11 @@
 
 class instance_client {
 public:
-    instance_client(base::endpoint to, credentials who);
+    // `to` names at least one.
+    instance_client(std::vector<base::endpoint> to, credentials who);
 
-    // Sends and waits, with progress on standard error.
+    // Sends and waits, with progress on standard error. Goes on to the next
+    // instance only when the one before provably received nothing.
     [[nodiscard]] reply call(std::string method, std::string path,
                              std::string body) const;
     [[nodiscard]] const std::string& command_id() const {
@@ -37,7 +40,10 @@
     }
 
 private:
-    base::endpoint m_to;
+    [[nodiscard]] reply call_one(const base::endpoint& to,
+                                 const http::request& r) const;
+
+    std::vector<base::endpoint> m_to;
     credentials m_who;
 };
 
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -1,4 +1,5 @@
 // pollenreel: the operators' tool.
+#include "cli/burn_report.hpp"
 #include "cli/options.hpp"
 #include "cli/render.hpp"
 #include "cli/wait_in_force.hpp"
@@ -87,6 +88,10 @@
                    cli::render_caret(line, problem.column, problem.text()));
         return exit_code::bad_usage;
     }
+    if (parsed.value() ==
+        language::command(language::query(language::report_burn{}))) {
+        return cli::burn_report(o);
+    }
     const auto r = client.call("POST", "/v1/command", line);
     if (std::holds_alternative<language::change>(parsed.value())) {
         return finish_change(o, client, r);
@@ -99,7 +104,7 @@
 }
 
 exit_code run(const cli::options& o) {
-    const cli::instance_client client(o.instance, o.who);
+    const cli::instance_client client(o.instances, o.who);
     if (o.words.size() == 2 && o.words[0] == "plan") {
         return plan(o, client);
     }
--- a/cli/options.cpp
+++ b/cli/options.cpp
@@ -1,5 +1,7 @@
 #include "cli/options.hpp"
 
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
 #include <fmt/format.h>
@@ -25,12 +27,26 @@
     return text.substr(0, text.find_first_of("\r\n"));
 }
 
-base::endpoint read_endpoint(const std::string& text) {
-    auto parsed = base::parse_endpoint(text);
-    if (!parsed) {
-        throw TCLAP::ArgException(parsed.error().detail, "instance");
+std::vector<base::endpoint> read_endpoints(const std::string& text) {
+    auto list = text.starts_with('@') ? read_whole(text.substr(1)) : text;
+    std::vector<std::string> parts;
+    boost::split(parts, list, boost::is_any_of(", \r\n"),
+                 boost::token_compress_on);
+    std::vector<base::endpoint> endpoints;
+    for (const auto& part : parts) {
+        if (part.empty()) {
+            continue;
+        }
+        auto parsed = base::parse_endpoint(part);
+        if (!parsed) {
+            throw TCLAP::ArgException(parsed.error().detail, "instance");
+        }
+        endpoints.push_back(parsed.value());
     }
-    return parsed.value();
+    if (endpoints.empty()) {
+        throw TCLAP::ArgException("names no instance", "instance");
+    }
+    return endpoints;
 }
 
 } // namespace
@@ -48,8 +64,11 @@
     TCLAP::CmdLine cmd(std::string(about) + std::string(exit_codes_help), ' ',
                        POLLENREEL_VERSION);
     const TCLAP::ValueArg<std::string> instance(
-        "i", "instance", "Operators' listener of any instance", true, "",
-        "IP:PORT", cmd);
+        "i", "instance",
+        "Operators' listeners of one or more instances, comma-separated, or "
+        "of those that FILE lists. The first that can be reached is asked; "
+        "'report burn' asks all",
+        true, "", "IP:PORT,...|@FILE", cmd);
     const TCLAP::ValueArg<std::string> token_file(
         "t", "token-file", "File that holds the operators' token", true, "",
         "FILE", cmd);
@@ -77,7 +96,7 @@
         id = to_string(boost::uuids::random_generator()());
     }
     return {
-        read_endpoint(instance.getValue()),
+        read_endpoints(instance.getValue()),
         {first_line(read_whole(token_file.getValue())), author.getValue(), id},
         json.getValue(),
         wait.getValue(),
--- a/cli/options.hpp
+++ b/cli/options.hpp
@@ -10,7 +10,7 @@
 namespace pollenreel::cli {
 
 struct options {
-    base::endpoint instance;
+    std::vector<base::endpoint> instances; // asked in this order
     credentials who;
     bool json = false;
     bool wait = false;
