Decide in pure code which connection an attempt gets

Cause: an order sent on a connection that something on the way has forgotten ends as unknown at its deadline, and after one such connection the pool went on to the next as old as it.

Change: a connection book gives an idempotent request the idle connection that answered last, a non-idempotent one only one that answered within the last second, else a new one; an attempt on a reused connection that got nothing back gives up the idle ones that have not answered since it began; idle ones expire. The traffic thread forgets failed attempts, which it kept for good, and knows its place among the instance's threads.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -53,8 +53,10 @@
     for (std::uint32_t i = 0; i < s.traffic.threads; ++i) {
         traffic.push_back(std::make_unique<node::traffic_thread>(
             node::traffic_options{
-                s, randombytes_random(),
-                fmt::format("{}.{}.{}", s.instance.id.str(), incarnation, i)},
+                s,
+                randombytes_random(),
+                fmt::format("{}.{}.{}", s.instance.id.str(), incarnation, i),
+                {i, static_cast<std::uint32_t>(s.traffic.threads)}},
             clock, log.named("traffic")));
         pointers.push_back(traffic.back().get());
     }
--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/tcp.h>
+
 #include <optional>
 
 namespace pollenreel::http {
@@ -21,6 +23,13 @@
 namespace bhttp = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+using user_timeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+// The kernel gives a connection up when what was sent is not acknowledged for
+// this long. Longer bears longer losses on the way and keeps what was in
+// flight on a forgotten connection waiting.
+constexpr std::chrono::duration<int, std::milli> unacknowledged_limit{3000};
+
 base::failure fail(error e, const beast::error_code& cause) {
     return {make_error_code(e), cause.message()};
 }
--- a/pollenreel/node/target_pool.cpp
+++ b/pollenreel/node/target_pool.cpp
@@ -15,6 +15,10 @@
 // A connect that takes longer is given up; within a fleet's longest
 // round trip it takes tens of milliseconds.
 constexpr milliseconds connect_timeout{250};
+// An attempt on a reused connection that got nothing back for this long makes
+// the other connections as old as it suspect. Lower replaces them sooner and
+// costs a slow target more connects.
+constexpr milliseconds silent_after{250};
 
 request::answer_facts facts_of(const http::response& r,
                                const std::string& request_id) {
@@ -28,25 +32,29 @@
 
 } // namespace
 
-target_pool::target_pool(boost::asio::io_context& io,
+target_pool::target_pool(boost::asio::io_context& io, const base::clock& clock,
                          http::limits answer_limits, report on_event)
-    : m_io(io), m_limits(answer_limits), m_report(std::move(on_event)) {}
+    : m_io(io), m_clock(clock), m_limits(answer_limits),
+      m_report(std::move(on_event)) {}
 
-void target_pool::open(const request::open_attempt& o, base::time_point now) {
+void target_pool::open(const request::open_attempt& o) {
     const auto id = o.attempt;
-    auto& idle = m_idle[o.to.address];
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
-        if (connection->reusable()) {
-            m_exchanges[id] = {o.to.address, std::move(connection), {}};
-            boost::asio::post(
-                m_io, [this, id] { m_report(request::attempt_connected{id}); });
-            return;
+    const auto now = m_clock.now();
+    while (const auto old = m_book.reuse(o.to.address, o.idempotent, now)) {
+        if (!m_connections.at(*old)->reusable()) {
+            close(*old);
+            continue;
         }
+        m_exchanges[id] = {*old, now, true, {}};
+        boost::asio::post(
+            m_io, [this, id] { m_report(request::attempt_connected{id}); });
+        return;
     }
+    m_last_connection = m_last_connection.next();
     auto connection = std::make_shared<http::client_connection>(m_io);
-    m_exchanges[id] = {o.to.address, connection, {}};
+    m_connections[m_last_connection] = connection;
+    m_book.opened(m_last_connection, o.to.address);
+    m_exchanges[id] = {m_last_connection, now, false, {}};
     const auto left =
         std::chrono::duration_cast<milliseconds>(o.deadline - now);
     const auto timeout = std::clamp(left, milliseconds(1), connect_timeout);
@@ -55,6 +63,7 @@
                             if (up) {
                                 return m_report(request::attempt_connected{id});
                             }
+                            close(m_exchanges.at(id).connection);
                             m_exchanges.erase(id);
                             m_report(request::attempt_connect_failed{id});
                         });
@@ -66,11 +75,12 @@
     if (found == m_exchanges.end()) {
         return;
     }
-    found->second.connection->exchange(
-        r, m_limits, limit,
-        [this, attempt, request_id](base::result<http::response> answer) {
-            on_answer(attempt, request_id, std::move(answer));
-        });
+    m_connections.at(found->second.connection)
+        ->exchange(
+            r, m_limits, limit,
+            [this, attempt, request_id](base::result<http::response> answer) {
+                on_answer(attempt, request_id, std::move(answer));
+            });
 }
 
 void target_pool::on_answer(base::attempt_id attempt,
@@ -85,25 +95,58 @@
     }
     auto& e = found->second;
     const auto facts = facts_of(answer.value(), request_id);
-    if (facts.id_matches && e.connection->reusable()) {
-        m_idle[e.to].push_back(std::move(e.connection));
-    }
+    release(e, facts.id_matches);
     e.answer = std::move(answer.value());
     m_report(request::attempt_answered{attempt, facts});
     m_exchanges.erase(attempt);
 }
 
+void target_pool::release(const exchange& e, bool reusable) {
+    if (reusable && m_connections.at(e.connection)->reusable()) {
+        return m_book.answered(e.connection, m_clock.now());
+    }
+    close(e.connection);
+}
+
+void target_pool::give_up(const exchange& e) {
+    if (e.reused && m_clock.now() - e.since >= silent_after) {
+        for (const auto id : m_book.silent(e.connection, e.since)) {
+            close(id);
+        }
+    }
+    close(e.connection);
+}
+
+void target_pool::close(request::connection_id id) {
+    m_book.closed(id);
+    m_connections.erase(id);
+}
+
 void target_pool::lose(base::attempt_id attempt) {
+    const auto e = std::move(m_exchanges.at(attempt));
     m_exchanges.erase(attempt);
+    give_up(e);
     m_report(request::attempt_lost{attempt});
 }
 
 void target_pool::abandon(base::attempt_id attempt) {
-    m_exchanges.erase(attempt);
+    const auto found = m_exchanges.find(attempt);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    const auto e = std::move(found->second);
+    m_exchanges.erase(found);
+    give_up(e);
 }
 
 http::response target_pool::take_answer(base::attempt_id attempt) {
     return std::move(m_exchanges.at(attempt).answer);
 }
 
+void target_pool::close_expired() {
+    for (const auto id : m_book.expired(m_clock.now())) {
+        close(id);
+    }
+}
+
 } // namespace pollenreel::node
--- a/pollenreel/node/target_pool.hpp
+++ b/pollenreel/node/target_pool.hpp
@@ -1,19 +1,20 @@
 // The connections of one traffic thread to targets. Carries attempts: gets a
 // connection, writes when told, reports what happened as events of the
-// request core.
+// request core. Which connection is reused or given up is decided by
+// request::connection_book.
 #pragma once
 
+#include "pollenreel/base/clock.hpp"
 #include "pollenreel/base/ids.hpp"
 #include "pollenreel/http/client_connection.hpp"
+#include "pollenreel/request/connection_book.hpp"
 #include "pollenreel/request/core.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <vector>
 
 namespace pollenreel::node {
 
@@ -24,12 +25,12 @@
     // of the pool.
     using report = std::function<void(const request::event&)>;
 
-    target_pool(boost::asio::io_context& io, http::limits answer_limits,
-                report on_event);
+    target_pool(boost::asio::io_context& io, const base::clock& clock,
+                http::limits answer_limits, report on_event);
 
     // Gets a connection: a reusable one, or a new one. Reports
     // attempt_connected or attempt_connect_failed.
-    void open(const request::open_attempt& o, base::time_point now);
+    void open(const request::open_attempt& o);
     // Writes the request. Reports attempt_answered or attempt_lost.
     void send(base::attempt_id attempt, const http::request& r,
               const std::string& request_id, std::chrono::milliseconds limit);
@@ -37,24 +38,37 @@
     void abandon(base::attempt_id attempt);
     // The whole answer that was reported; to be taken once.
     [[nodiscard]] http::response take_answer(base::attempt_id attempt);
+    // Closes connections that were idle for too long; to be called now and
+    // then.
+    void close_expired();
 
 private:
     using connection_ptr = std::shared_ptr<http::client_connection>;
     struct exchange {
-        base::endpoint to;
-        connection_ptr connection;
+        request::connection_id connection;
+        base::time_point since;
+        bool reused = false;
         http::response answer;
     };
 
+    // The connection of an exchange that is over but for its answer.
+    void release(const exchange& e, bool reusable);
+    // Closes the connection of an exchange that got nothing back.
+    void give_up(const exchange& e);
+    void close(request::connection_id id);
     void on_answer(base::attempt_id attempt, const std::string& request_id,
                    base::result<http::response> answer);
     void lose(base::attempt_id attempt);
 
     boost::asio::io_context& m_io;
+    const base::clock& m_clock;
     http::limits m_limits;
     report m_report;
     boost::unordered_flat_map<base::attempt_id, exchange> m_exchanges;
-    std::map<base::endpoint, std::vector<connection_ptr>> m_idle;
+    request::connection_book m_book{{}};
+    boost::unordered_flat_map<request::connection_id, connection_ptr>
+        m_connections;
+    request::connection_id m_last_connection;
 };
 
 } // namespace pollenreel::node
--- a/pollenreel/node/traffic_thread.cpp
+++ b/pollenreel/node/traffic_thread.cpp
@@ -48,13 +48,13 @@
 public:
     loop(traffic_options options, const base::clock& clock, log::logger log)
         : m_options(std::move(options)), m_clock(clock), m_log(std::move(log)),
-          m_core({.seed = m_options.seed}), m_wakeup(m_io),
-          m_housekeeping(m_io),
+          m_core({.seed = m_options.seed, .place = m_options.place}),
+          m_wakeup(m_io), m_housekeeping(m_io),
           m_server(m_io, server_options(m_options.settings),
                    [this](http::request r, http::responder answer) {
                        on_request(std::move(r), std::move(answer));
                    }),
-          m_targets(m_io,
+          m_targets(m_io, m_clock,
                     {64 * 1024, m_options.settings.traffic.max_body_bytes},
                     [this](const request::event& e) { handle(e); }) {}
 
@@ -167,11 +167,25 @@
         for (const auto& effect : m_core.handle(e, m_clock.now())) {
             std::visit([&](const auto& one) { run(one); }, effect);
         }
+        forget_failed(e);
         arm_wakeup();
     }
 
+    // A failed attempt has no effect of its own.
+    void forget_failed(const request::event& e) {
+        if (const auto* lost = std::get_if<request::attempt_lost>(&e)) {
+            m_request_of.erase(lost->attempt);
+        }
+        if (const auto* f = std::get_if<request::attempt_connect_failed>(&e)) {
+            m_request_of.erase(f->attempt);
+        }
+        if (const auto* a = std::get_if<request::attempt_answered>(&e)) {
+            m_request_of.erase(a->attempt);
+        }
+    }
+
     void run(const request::open_attempt& e) {
-        m_targets.open(e, m_clock.now());
+        m_targets.open(e);
         m_metrics.opened(e);
         m_request_of[e.attempt] = e.request;
     }
@@ -227,6 +241,7 @@
     }
 
     void keep_house() {
+        m_targets.close_expired();
         {
             const std::lock_guard guard(m_counters_mutex);
             m_counters = {m_lookups, m_server.counters().malformed,
--- /dev/null
+++ b/pollenreel/request/connection_book.hpp
@@ -0,0 +1,78 @@
+// Which connection to a target an attempt gets, and which are given up. Pure
+// decisions; whoever owns the sockets opens and closes as told.
+//
+//   connection_book book(limits);
+//   if (auto id = book.reuse(target, true, now)) { ... } else { open(); }
+//   book.opened(id, target, now);
+//   book.answered(id, now);
+//   for (auto id : book.silent(id, since)) close(id);
+#pragma once
+
+#include "pollenreel/base/clock.hpp"
+#include "pollenreel/base/endpoint.hpp"
+#include "pollenreel/base/ids.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace pollenreel::request {
+
+using connection_id = base::number_id<struct connection_tag>;
+
+struct connection_limits {
+    // An idle connection is not used again after this. Longer saves connects
+    // and trusts connections that may have been forgotten on the way.
+    std::chrono::milliseconds longest_idle{20'000};
+    // A non-idempotent request is sent only on a connection that is new or
+    // has brought an answer this recently: it cannot be repeated when the
+    // connection turns out to be dead. Longer saves connects.
+    std::chrono::milliseconds proven_for{1000};
+};
+
+// One thread only.
+class connection_book {
+public:
+    explicit connection_book(connection_limits limits) : m_limits(limits) {}
+
+    // Takes an idle connection into use, the one that answered last: others
+    // then age and are closed. Empty: a new one has to be opened.
+    std::optional<connection_id> reuse(const base::endpoint& to,
+                                       bool idempotent, base::time_point now);
+    // A new connection is in use from now on.
+    void opened(connection_id id, const base::endpoint& to);
+    // A whole answer came; the connection is idle and may be used again.
+    void answered(connection_id id, base::time_point now);
+    // It was closed, for whatever reason.
+    void closed(connection_id id);
+
+    // An attempt that began at `since` on `id` got nothing back. Returns the
+    // idle connections to the same target that have not answered since then
+    // either, to be closed: what forgot one has likely forgotten them all.
+    std::vector<connection_id> silent(connection_id id, base::time_point since);
+    // Idle connections that are too old to be used again, to be closed.
+    std::vector<connection_id> expired(base::time_point now);
+
+    // Open connections to `to`, in use or idle.
+    [[nodiscard]] std::size_t open_to(const base::endpoint& to) const;
+
+private:
+    struct connection {
+        base::endpoint to;
+        std::optional<base::time_point> answered; // set while idle
+    };
+    struct peer {
+        std::size_t open = 0;
+        std::vector<connection_id> idle; // the last to answer at the back
+    };
+
+    connection_limits m_limits;
+    boost::unordered_flat_map<connection_id, connection> m_connections;
+    std::map<base::endpoint, peer> m_peers;
+};
+
+} // namespace pollenreel::request
--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -208,7 +208,8 @@
     ++m_counters.attempts;
     m_counters.retries += why == cause::retry ? 1 : 0;
     m_counters.hedges += why == cause::hedge ? 1 : 0;
-    out.emplace_back(open_attempt{id, p.request.id, to, p.request.deadline});
+    out.emplace_back(open_attempt{id, p.request.id, to, p.request.deadline,
+                                  p.request.kind.idempotent});
     return std::nullopt;
 }
 
--- a/pollenreel/request/core.hpp
+++ b/pollenreel/request/core.hpp
@@ -67,6 +67,7 @@
     base::request_id request;
     choice to;
     base::time_point deadline;
+    bool idempotent = false;
 };
 struct send_attempt { // write the request on it
     base::attempt_id attempt;
