Measure in_force on real daemons and in virtual time; tell floors less

Digests carry the own region's floor, those that changed in the last 15 s and one other in turn; acknowledgements are repeated with a doubling backoff up to 8 s.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,9 +1,11 @@
 // pollenreel_bench [--list] [NAME...]: runs the named measures, or all the
 // deterministic ones, and prints one JSON object a line. Exit 1 when a value
 // breaks its bound.
+#include "pollenreel/feed/benchmarks.hpp"
 #include "pollenreel/measure/result.hpp"
 #include "pollenreel/node/node_benchmark.hpp"
 #include "pollenreel/request/benchmarks.hpp"
+#include "testing/in_force.hpp"
 
 #include <fmt/format.h>
 
@@ -26,6 +28,10 @@
 
 std::span<const entry> entries() {
     static const std::vector<entry> all = {
+        {"in_force", false, "changes on real daemons, some killed",
+         testing::measure_in_force},
+        {"in_force_virtual", true, "changes on 12 to 1,305 instances",
+         feed::measure_in_force_virtual},
         {"lookup", false, "look-ups on one traffic thread",
          node::measure_lookup},
         {"path_cost", false, "what the system adds to a request",
--- a/pollenreel/control/committer_faults_test.cpp
+++ b/pollenreel/control/committer_faults_test.cpp
@@ -129,7 +129,9 @@
         w.run();
         const auto end = w.stored();
         CHECK(end.version.value() == 1 + end.recent.size());
-        for (const auto& [command, verdict] : w.verdicts) {
+        for (const auto& one : w.verdicts) {
+            const auto& command = one.first;
+            const auto& verdict = one.second;
             CAPTURE(command.str());
             ++seen[verdict.index()];
             const auto times = std::count_if(
--- a/pollenreel/feed/acknowledgements.cpp
+++ b/pollenreel/feed/acknowledgements.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace pollenreel::feed {
 
@@ -69,23 +70,27 @@
     });
 }
 
-std::vector<region_floor> acknowledgements::floors_to_tell() {
-    std::vector<const known_floor*> all;
+std::vector<region_floor>
+acknowledgements::floors_to_tell(const base::region_id& own,
+                                 base::time_point now) {
+    std::vector<const known_floor*> news;
+    std::vector<const known_floor*> old;
     for (const auto& [region, f] : m_floors) {
-        all.push_back(&f);
+        const bool first = region == own || now - f.changed < floor_news_time;
+        (first ? news : old).push_back(&f);
+    }
+    std::sort(news.begin(), news.end(), [&](const auto* a, const auto* b) {
+        const bool own_a = a->floor.region == own;
+        const bool own_b = b->floor.region == own;
+        return std::tie(own_a, a->changed) > std::tie(own_b, b->changed);
+    });
+    news.resize(std::min(news.size(), most_floors));
+    if (!old.empty()) {
+        news.push_back(old[m_turn++ % old.size()]);
     }
-    const auto newest = std::min(most_floors / 2, all.size());
-    std::partial_sort(
-        all.begin(), all.begin() + static_cast<std::ptrdiff_t>(newest),
-        all.end(),
-        [](const auto* a, const auto* b) { return a->changed > b->changed; });
     std::vector<region_floor> told;
-    for (std::size_t i = 0; i < std::min(most_floors, all.size()); ++i) {
-        const auto rest = all.size() - newest;
-        const auto index =
-            i < newest ? i
-                       : newest + (m_turn++ % std::max<std::size_t>(rest, 1));
-        told.push_back(all[index]->floor);
+    for (const auto* f : news) {
+        told.push_back(f->floor);
     }
     return told;
 }
--- a/pollenreel/feed/acknowledgements.hpp
+++ b/pollenreel/feed/acknowledgements.hpp
@@ -19,6 +19,9 @@
 constexpr std::size_t most_named_missing = 4;
 // Floors in one message.
 constexpr std::size_t most_floors = 6;
+// How long a floor that changed is told first. Trades bytes against how soon
+// all know it.
+constexpr std::chrono::milliseconds floor_news_time{15'000};
 
 // What is known of a version.
 struct coverage {
@@ -44,8 +47,10 @@
     // Forgets members and regions that are not among `live`.
     void keep(const std::vector<member>& live);
 
-    // Floors to pass on: those that changed last, and others in turn.
-    [[nodiscard]] std::vector<region_floor> floors_to_tell();
+    // Floors to pass on: that of `own`, those that changed lately, and one of
+    // the others in turn.
+    [[nodiscard]] std::vector<region_floor>
+    floors_to_tell(const base::region_id& own, base::time_point now);
     [[nodiscard]] std::optional<base::config_version>
     floor_of(const base::region_id& region) const;
     [[nodiscard]] coverage of(base::config_version v,
--- a/pollenreel/feed/delta_log.hpp
+++ b/pollenreel/feed/delta_log.hpp
@@ -11,7 +11,7 @@
 namespace pollenreel::feed {
 
 constexpr std::size_t most_logged_deltas = 128;
-constexpr std::size_t most_logged_bytes = 512 * 1024;
+constexpr std::size_t most_logged_bytes = std::size_t{512} * 1024;
 
 class delta_log {
 public:
--- a/pollenreel/feed/feed.cpp
+++ b/pollenreel/feed/feed.cpp
@@ -10,6 +10,9 @@
 
 // How long an asked peer has before another is asked.
 constexpr std::chrono::milliseconds pull_patience{250};
+// Most time between acknowledgements of a version that the region's floor
+// does not show yet.
+constexpr std::chrono::milliseconds most_acknowledgement_backoff{8000};
 
 using declarations::most_configuration_bytes;
 
@@ -225,6 +228,8 @@
 // Tells the watchers of the region at once what is applied now.
 void feed::acknowledge(base::time_point now, effects& out) {
     speak(now);
+    m_acknowledgement_backoff = digest_period;
+    m_next_acknowledgement = now + digest_period;
     for (const auto& w : m_watchers) {
         if (w.instance != m_self.instance) {
             out.emplace_back(send{w.address, make_digest(now)});
@@ -241,9 +246,23 @@
     }
 }
 
+// While the region's floor is below the own version the watchers may not have
+// heard from here.
+bool feed::acknowledges_again(base::time_point now) {
+    const auto floor = m_acknowledged.floor_of(m_self.region);
+    if (floor.value_or(base::config_version()) >= m_version ||
+        now < m_next_acknowledgement) {
+        return false;
+    }
+    m_next_acknowledgement = now + m_acknowledgement_backoff;
+    m_acknowledgement_backoff = std::min<base::duration>(
+        m_acknowledgement_backoff * 2, most_acknowledgement_backoff);
+    return true;
+}
+
 digest feed::make_digest(base::time_point now) {
     return {m_self.instance, m_self.address, m_version, confirmed_ago(now),
-            m_acknowledged.floors_to_tell()};
+            m_acknowledged.floors_to_tell(m_self.region, now)};
 }
 
 void feed::send_digests(base::time_point now, effects& out) {
@@ -252,9 +271,8 @@
         const auto far = choose(m_abroad, 1);
         to.insert(to.end(), far.begin(), far.end());
     }
-    const auto floor = m_acknowledged.floor_of(m_self.region);
-    if (floor.value_or(base::config_version()) < m_version) {
-        for (const auto& w : m_watchers) { // may not have heard from here
+    if (acknowledges_again(now)) {
+        for (const auto& w : m_watchers) {
             if (w.instance != m_self.instance) {
                 to.push_back(w);
             }
--- a/pollenreel/feed/feed.hpp
+++ b/pollenreel/feed/feed.hpp
@@ -98,6 +98,7 @@
     void pass_on(const push& news, source from, effects& out);
     void acknowledge(base::time_point now, effects& out);
     void speak(base::time_point now);
+    [[nodiscard]] bool acknowledges_again(base::time_point now);
     void answer(const base::endpoint& to, base::config_version have,
                 effects& out);
     void ask(const base::endpoint& of, base::config_version have,
@@ -125,6 +126,8 @@
     std::optional<base::time_point> m_confirmed;
     base::time_point m_next_digest;
     base::time_point m_next_pull;
+    base::time_point m_next_acknowledgement;
+    base::duration m_acknowledgement_backoff = digest_period;
     int m_whole_sends_left = most_whole_sends;
 };
 
--- a/testing/feed_network.cpp
+++ b/testing/feed_network.cpp
@@ -184,7 +184,7 @@
     });
 }
 
-void feed_network::run(std::size_t i, feed::effects out) {
+void feed_network::run(std::size_t i, const feed::effects& out) {
     for (const auto& e : out) {
         std::visit([&](const auto& one) { run(i, one); }, e);
     }
@@ -204,7 +204,9 @@
     const int copies = m_random.unit() < m_options.doubling ? 2 : 1;
     for (int c = 0; c < copies; ++c) {
         later_on(found->second, delay(i, found->second),
-                 [this, m = e.message](feed::feed& f) {
+                 [this, to = found->second, m = e.message,
+                  size = bytes.size()](feed::feed& f) {
+                     m_nodes[to].bytes += size;
                      return f.on_message(m, m_now);
                  });
     }
--- a/testing/feed_network.hpp
+++ b/testing/feed_network.hpp
@@ -65,7 +65,7 @@
     [[nodiscard]] std::uint64_t reversions() const { return m_reversions; }
     [[nodiscard]] std::uint64_t wrong_texts() const { return m_wrong_texts; }
     [[nodiscard]] std::uint64_t store_calls() const { return m_store_calls; }
-    // Sent by instance `i` as encoded.
+    // Sent and received by instance `i`, as encoded.
     [[nodiscard]] std::uint64_t bytes_of(std::size_t i) const;
     [[nodiscard]] std::uint64_t wholes_sent() const { return m_wholes; }
 
@@ -95,7 +95,7 @@
     // Runs `what` on instance `i` if it still lives the same life.
     void later_on(std::size_t i, base::duration d,
                   std::function<feed::effects(feed::feed&)> what);
-    void run(std::size_t i, feed::effects out);
+    void run(std::size_t i, const feed::effects& out);
     void run(std::size_t i, const feed::send& e);
     void run(std::size_t i, const feed::take& e);
     void run(std::size_t i, const feed::open_watch& e);
