--- a/cli/burn_report.cpp
+++ b/cli/burn_report.cpp
@@ -78,6 +78,7 @@
 
 std::string names(const std::vector<base::instance_id>& ids) {
     std::vector<std::string> all;
+    all.reserve(ids.size());
     for (const auto& id : ids) {
         all.push_back(id.str());
     }
--- a/pollenreel/control/answers.cpp
+++ b/pollenreel/control/answers.cpp
@@ -10,6 +10,8 @@
 #include <boost/json/serialize.hpp>
 #include <fmt/chrono.h>
 
+#include <ranges>
+
 namespace pollenreel::control {
 
 namespace {
@@ -138,12 +140,12 @@
 answer_operator history_answer(call_id call,
                                const declarations::configuration& current) {
     json::array changes;
-    for (auto r = current.recent.rbegin(); r != current.recent.rend(); ++r) {
-        changes.emplace_back(json::object{{"version", r->version.value()},
-                                          {"at", utc_text(r->at)},
-                                          {"author", r->author},
-                                          {"command_id", r->command.str()},
-                                          {"summary", r->summary}});
+    for (const auto& r : std::views::reverse(current.recent)) {
+        changes.emplace_back(json::object{{"version", r.version.value()},
+                                          {"at", utc_text(r.at)},
+                                          {"author", r.author},
+                                          {"command_id", r.command.str()},
+                                          {"summary", r.summary}});
     }
     return ok(call,
               {{"version", current.version.value()}, {"changes", changes}});
--- a/pollenreel/control/core_test.cpp
+++ b/pollenreel/control/core_test.cpp
@@ -28,11 +28,13 @@
     return c;
 }
 
+control::event push(const declarations::configuration& c) {
+    return control::peer_received{feed::push{
+        {"127.0.0.1", 7001}, c.version, {}, declarations::encode(c)}};
+}
+
 control::event push(std::uint64_t v) {
-    return control::peer_received{feed::push{{"127.0.0.1", 7001},
-                                             base::config_version(v),
-                                             {},
-                                             declarations::encode(version(v))}};
+    return push(version(v));
 }
 
 template <class Effect>
@@ -114,10 +116,7 @@
         for (const auto* id : r.drained) {
             drained.commanded.drained_instances.emplace(id);
         }
-        const auto out =
-            c.handle(control::peer_received{peer::configuration_push{
-                         declarations::encode(drained)}},
-                     start);
+        const auto out = c.handle(push(drained), start);
         for (const auto& e : out) {
             if (const auto* p = std::get_if<control::publish>(&e)) {
                 CHECK(p->snapshot->instances.size() == r.named);
--- a/pollenreel/node/metrics_text.cpp
+++ b/pollenreel/node/metrics_text.cpp
@@ -56,6 +56,7 @@
 
 metrics::readings readings_of(const std::vector<traffic_thread*>& traffic) {
     std::vector<metrics::readings> parts;
+    parts.reserve(traffic.size());
     for (const auto* t : traffic) {
         parts.push_back(t->readings());
     }
--- a/pollenreel/report/burn.cpp
+++ b/pollenreel/report/burn.cpp
@@ -81,6 +81,7 @@
         all[{key.service, key.kind, {}}].add(l);
     }
     std::vector<burn_row> rows;
+    rows.reserve(all.size());
     for (const auto& [key, l] : all) { // an empty region sorts first
         rows.push_back(row_of(key, l));
     }
--- a/pollenreel/report/report_test.cpp
+++ b/pollenreel/report/report_test.cpp
@@ -82,17 +82,16 @@
         level_counts counts;
     };
     const row rows[] = {
-        {5min, {20 * 13, 20 * 15}},  {30min, {120 * 13, 120 * 15}},
-        {1h, {240 * 13, 240 * 15}},  {6h, {240 * 28, 480 * 15}},
-        {72h, {240 * 28, 480 * 15}},
+        {5min, {260, 300}}, {30min, {1560, 1800}}, {1h, {3120, 3600}},
+        {6h, {6720, 7200}}, {72h, {6720, 7200}},
     };
     for (const auto& r : rows) {
         CAPTURE(r.window.count());
         CHECK(h.within(web_a, r.window, now) == r.counts);
     }
-    CHECK(h.minutes(web_a, now)[0] == level_counts{4 * 13, 60});
-    CHECK(h.minutes(web_a, now)[59] == level_counts{4 * 13, 60});
-    CHECK(h.hours(web_a, now)[0] == level_counts{240 * 13, 3600});
+    CHECK(h.minutes(web_a, now)[0] == level_counts{52, 60});
+    CHECK(h.minutes(web_a, now)[59] == level_counts{52, 60});
+    CHECK(h.hours(web_a, now)[0] == level_counts{3120, 3600});
     CHECK(h.hours(web_a, now)[1] == level_counts{3600, 3600});
     CHECK(h.hours(web_a, now)[2] == level_counts{});
     CHECK(h.within(web_a, 1h, now + 2h) == level_counts{});
--- a/pollenreel/report/service_levels.cpp
+++ b/pollenreel/report/service_levels.cpp
@@ -99,7 +99,7 @@
     read_counts(v.at("minutes"), l.minutes);
     read_counts(v.at("hours"), l.hours);
     l.latency = read_latency(v.at("latency"));
-    into.levels.emplace(key, std::move(l));
+    into.levels.emplace(key, l);
 }
 
 template <std::size_t N>
