Make the burn page's plots readable

Cause: rendered, the plots stood under each other, thresholds were written over the newest values and the axis had odd numbers. Change: sizes in pixels, labels at the left, round axes; alarms of the whole fleet are coloured too. Checked: report_page_test; the page looked at in a browser, 6 instances, 4.5 minutes of load with 15 of 24 targets paused for 50 s.

--- a/pollenreel/report_page/chart.cpp
+++ b/pollenreel/report_page/chart.cpp
@@ -54,6 +54,7 @@
               cairo_svg_surface_create_for_stream(append, &to, width, height),
               cairo_surface_destroy),
           m_context(cairo_create(m_surface.get()), cairo_destroy) {
+        cairo_svg_surface_set_document_unit(m_surface.get(), CAIRO_SVG_UNIT_PX);
         cairo_select_font_face(m_context.get(), "sans-serif",
                                CAIRO_FONT_SLANT_NORMAL,
                                CAIRO_FONT_WEIGHT_NORMAL);
@@ -97,8 +98,23 @@
             most = std::max(most, v.value_or(0));
         }
     }
-    constexpr double room_above = 1.15;
-    return most * room_above;
+    return most;
+}
+
+// The least round number that leaves `value` some room above.
+double round_up(double value) {
+    constexpr double room_above = 1.05;
+    constexpr double steps[] = {1, 2, 4, 8, 10};
+    double scale = 1;
+    while (scale * steps[4] < value * room_above) {
+        scale *= steps[4];
+    }
+    for (const double s : steps) {
+        if (scale * s >= value * room_above) {
+            return scale * s;
+        }
+    }
+    return scale * steps[4];
 }
 
 double y_of(double value, double most) {
@@ -130,7 +146,7 @@
     for (const auto t : c.thresholds) {
         if (t < most) {
             on.line(left, y_of(t, most), right, y_of(t, most));
-            on.text(right - 30, y_of(t, most) - 3, text_size,
+            on.text(left + 3, y_of(t, most) - 3, text_size,
                     fmt::format("{:g}x", t));
         }
     }
@@ -158,7 +174,7 @@
     std::string svg;
     {
         canvas on(svg);
-        const auto most = greatest(c);
+        const auto most = round_up(greatest(c));
         draw_frame(on, c, most);
         draw_thresholds(on, c, most);
         for (std::size_t i = c.lines.size(); i-- > 0;) {
--- a/pollenreel/report_page/chart.hpp
+++ b/pollenreel/report_page/chart.hpp
@@ -22,7 +22,7 @@
     std::vector<double> thresholds; // drawn where they fit the values
 };
 
-// A whole SVG document, 560 by 240 points.
+// A whole SVG document, 560 by 240 pixels.
 [[nodiscard]] std::string to_svg(const chart& c);
 
 } // namespace pollenreel::report_page
--- a/pollenreel/report_page/page.cpp
+++ b/pollenreel/report_page/page.cpp
@@ -16,13 +16,14 @@
 using report::burn_row;
 
 constexpr std::string_view style = R"(
-body{font:15px/1.45 sans-serif;max-width:1180px;margin:2em auto;padding:0 1em;
+body{font:15px/1.45 sans-serif;max-width:1220px;margin:2em auto;padding:0 1em;
 color:#223}
 table{border-collapse:collapse;margin:1em 0;width:100%}
 th,td{padding:.3em .6em;text-align:right;border-bottom:1px solid #dde}
 th:nth-child(-n+3),td:nth-child(-n+3){text-align:left}
 tr.fleet td{font-weight:bold;background:#f4f5f9}
-.page{background:#c22;color:#fff}.ticket{background:#f3c04b}
+td.page,tr.fleet td.page{background:#c22;color:#fff}
+td.ticket,tr.fleet td.ticket{background:#f3c04b}
 .note{color:#556}.charts{display:flex;flex-wrap:wrap}
 )";
 
