--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -10,6 +10,8 @@
 #include <fmt/ranges.h>
 #include <tclap/ArgException.h>
 
+#include <cstdio>
+
 namespace {
 
 using namespace pollenreel;
@@ -22,6 +24,7 @@
     } else {
         fmt::print("{}", text);
     }
+    (void)std::fflush(stdout); // before anything that takes long
 }
 
 // Says that there is no answer and what that means.
--- a/cli/render.cpp
+++ b/cli/render.cpp
@@ -75,23 +75,23 @@
     return all;
 }
 
-std::string in_force_text(const json::value& status) {
-    if (status.at("in_force").as_bool()) {
-        return "in force on every live instance";
-    }
-    std::vector<std::string> missing;
+// Instances in `state`, those that apply the current version only if asked.
+std::string members_in(const json::value& status, std::string_view state,
+                       bool with_current) {
+    std::vector<std::string> names;
     for (const auto& m : status.at("members").as_array()) {
-        if (m.at("state") == "live" && !m.at("current").as_bool()) {
-            missing.push_back(text(m, "instance"));
+        const bool counts = with_current || !m.at("current").as_bool();
+        if (text(m, "state") == state && counts) {
+            names.push_back(text(m, "instance"));
         }
     }
-    return fmt::format("not in force yet on {}", fmt::join(missing, ", "));
+    return fmt::format("{}", fmt::join(names, ", "));
 }
 
 std::string render(const language::status&, const json::value& a) {
     std::string all =
         fmt::format("version {} by {}: {}\n{}\n\n", text(a, "version"),
-                    text(a, "author"), text(a, "summary"), in_force_text(a));
+                    text(a, "author"), text(a, "summary"), render_in_force(a));
     text_table t({"INSTANCE", "DOMAIN", "STATE", "APPLIED", "SILENT"});
     t.add(
         {text(a, "instance") + " (asked)", "", "live", text(a, "version"), ""});
@@ -114,8 +114,8 @@
 }
 
 std::string render_regions(const json::value& a) {
-    text_table t(
-        {"REGION", "SHARE", "TARGETS", "EXCLUDED", "SLOTS", "TAKING NEW WORK"});
+    text_table t({"REGION", "GOAL SHARE", "TARGETS", "EXCLUDED", "SLOTS",
+                  "TAKING NEW WORK"});
     for (const auto& r : a.at("regions").as_array()) {
         t.add({text(r, "region"), text(r, "goal_percent") + "%",
                text(r, "targets"), text(r, "excluded_targets"),
@@ -226,6 +226,17 @@
     return fmt::format("refused: {}\n", text(a, "why"));
 }
 
+std::string render_in_force(const json::value& status) {
+    auto all = status.at("in_force").as_bool()
+                   ? std::string("in force on every live instance")
+                   : "not in force yet on " + members_in(status, "live", false);
+    const auto silent = members_in(status, "silent", true);
+    if (!silent.empty()) {
+        all += "; not heard of and not named to callers: " + silent;
+    }
+    return all;
+}
+
 std::string render_plan(const json::value& a) {
     const auto& differences = a.at("differences").as_array();
     if (differences.empty()) {
--- a/cli/render.hpp
+++ b/cli/render.hpp
@@ -20,6 +20,9 @@
 [[nodiscard]] std::string render_outcome(const boost::json::value& answer,
                                          const std::string& command_id);
 
+// Where the version that `status` tells of is in force, and where not.
+[[nodiscard]] std::string render_in_force(const boost::json::value& status);
+
 [[nodiscard]] std::string render_plan(const boost::json::value& answer);
 
 // The line, a caret under `column` (from 1), and the problem.
--- a/cli/render_test.cpp
+++ b/cli/render_test.cpp
@@ -72,3 +72,27 @@
                                    R"({"outcome":"refused","why":"w"})")) ==
           "refused: w\n");
 }
+
+TEST_CASE("status says who applies a version, who does not, who is silent") {
+    struct row {
+        const char* status;
+        const char* text;
+    };
+    const row rows[] = {
+        {R"({"in_force":true,"members":[]})",
+         "in force on every live instance"},
+        {R"({"in_force":false,"members":[)"
+         R"({"instance":"b","state":"live","current":false},)"
+         R"({"instance":"c","state":"live","current":true}]})",
+         "not in force yet on b"},
+        {R"({"in_force":true,"members":[)"
+         R"({"instance":"b","state":"silent","current":true},)"
+         R"({"instance":"c","state":"leaving","current":false}]})",
+         "in force on every live instance; not heard of and not named to "
+         "callers: b"},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.status);
+        CHECK(cli::render_in_force(boost::json::parse(r.status)) == r.text);
+    }
+}
--- a/cli/wait_in_force.cpp
+++ b/cli/wait_in_force.cpp
@@ -1,5 +1,7 @@
 #include "cli/wait_in_force.hpp"
 
+#include "cli/render.hpp"
+
 #include <fmt/format.h>
 
 #include <thread>
@@ -13,7 +15,7 @@
 
 struct state {
     bool in_force = false;
-    std::string missing;
+    std::string text;
 };
 
 state read_state(const reply& r, std::uint64_t version) {
@@ -25,14 +27,7 @@
         return {false,
                 "the asked instance applies version " + std::to_string(at)};
     }
-    std::string missing;
-    for (const auto& m : r.body.at("members").as_array()) {
-        if (m.at("state") == "live" && !m.at("current").as_bool()) {
-            missing += std::string(missing.empty() ? "" : ", ") +
-                       m.at("instance").as_string().c_str();
-        }
-    }
-    return {r.body.at("in_force").as_bool(), missing};
+    return {r.body.at("in_force").as_bool(), render_in_force(r.body)};
 }
 
 } // namespace
@@ -46,13 +41,13 @@
         const auto now =
             read_state(of.call("POST", "/v1/command", "status"), version);
         if (now.in_force) {
-            fmt::print(stderr, "version {} is in force\n", version);
+            fmt::print(stderr, "version {}: {}\n", version, now.text);
             return exit_code::done;
         }
         if (clock::now() - told >= tell_period) {
             told = clock::now();
             fmt::print(stderr, "waiting for version {}: {}\n", version,
-                       now.missing);
+                       now.text);
         }
         std::this_thread::sleep_for(ask_period);
     }
