Measure headroom; start cold targets slowly; keep to connections

Cause: nothing measured what a surviving region loses when another fails over to it beside cold targets, a target that came back got its full part at once, and the connections of the fleet to one target were not bounded.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -36,6 +36,8 @@
          request::measure_short_behind_long},
         {"at_most_once", true, "faults at every step of an attempt",
          request::measure_at_most_once},
+        {"headroom", true, "what a surviving region loses beside cold targets",
+         request::measure_headroom},
     };
     return all;
 }
--- a/pollenreel/node/target_pool.cpp
+++ b/pollenreel/node/target_pool.cpp
@@ -50,6 +50,13 @@
             m_io, [this, id] { m_report(request::attempt_connected{id}); });
         return;
     }
+    while (m_book.open_to(o.to.address) >= o.most_connections) {
+        const auto oldest = m_book.oldest_idle(o.to.address);
+        if (!oldest) {
+            break;
+        }
+        close(*oldest);
+    }
     m_last_connection = m_last_connection.next();
     auto connection = std::make_shared<http::client_connection>(m_io);
     m_connections[m_last_connection] = connection;
--- a/pollenreel/request/benchmarks.hpp
+++ b/pollenreel/request/benchmarks.hpp
@@ -64,4 +64,8 @@
 // baseline repeats every failed attempt.
 [[nodiscard]] measure::results measure_at_most_once();
 
+// What a surviving region loses when another's traffic comes on top while
+// half of its targets are cold.
+[[nodiscard]] measure::results measure_headroom();
+
 } // namespace pollenreel::request
--- a/pollenreel/request/choose_target.cpp
+++ b/pollenreel/request/choose_target.cpp
@@ -90,6 +90,11 @@
             cold.push_back(t);
         }
     }
+    // Slow start: a target with cold caches is passed over more often.
+    cold = prefer(cold, [&](const auto& t) {
+        const auto warmth = q.book.warmth(t.id, q.now);
+        return warmth >= 1 || q.random.unit() < warmth;
+    });
     const auto enough = least_cold_share * static_cast<double>(among.size());
     if (static_cast<double>(cold.size()) >= enough) {
         return least_used(cold, q.book);
@@ -119,6 +124,15 @@
         return refusal{outcome::not_run, reason::no_target};
     }
     among = prefer(among, [&](const auto& t) { return t.region == region; });
+    among = prefer(among, [&](const auto& t) {
+        return wishes.subset.empty() || contains(wishes.subset, t.id);
+    });
+    std::erase_if(among, [&](const auto* t) {
+        return book.in_flight(t->id) >= wishes.most_per_target;
+    });
+    if (among.empty()) {
+        return refusal{outcome::not_run, reason::overloaded};
+    }
     among = prefer(among, [&](const auto& t) {
         return contains(wishes.preferred, t.id) && !book.hot(t.id, now);
     });
--- a/pollenreel/request/choose_target.hpp
+++ b/pollenreel/request/choose_target.hpp
@@ -7,6 +7,7 @@
 #include "pollenreel/request/types.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <variant>
 
@@ -31,6 +32,10 @@
     std::span<const base::target_id> tried; // left out
     // Taken before others while one of them is cold; empty: no preference.
     std::span<const base::target_id> preferred;
+    // Those that this thread connects to; empty: all.
+    std::span<const base::target_id> subset;
+    // Attempts that it may have under way at one target.
+    std::uint32_t most_per_target = std::numeric_limits<std::uint32_t>::max();
 };
 
 // Chooses among the service's targets in `region` that take new work; when
--- a/pollenreel/request/connection_book.cpp
+++ b/pollenreel/request/connection_book.cpp
@@ -68,6 +68,15 @@
     return old;
 }
 
+std::optional<connection_id>
+connection_book::oldest_idle(const base::endpoint& to) const {
+    const auto found = m_peers.find(to);
+    if (found == m_peers.end() || found->second.idle.empty()) {
+        return std::nullopt;
+    }
+    return found->second.idle.front();
+}
+
 std::size_t connection_book::open_to(const base::endpoint& to) const {
     const auto found = m_peers.find(to);
     return found == m_peers.end() ? 0 : found->second.open;
--- a/pollenreel/request/connection_book.hpp
+++ b/pollenreel/request/connection_book.hpp
@@ -57,6 +57,10 @@
     // Idle connections that are too old to be used again, to be closed.
     std::vector<connection_id> expired(base::time_point now);
 
+    // The idle connection that answered longest ago, to be closed when a new
+    // one would be one too many.
+    [[nodiscard]] std::optional<connection_id>
+    oldest_idle(const base::endpoint& to) const;
     // Open connections to `to`, in use or idle.
     [[nodiscard]] std::size_t open_to(const base::endpoint& to) const;
 
--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -5,6 +5,7 @@
 #include "pollenreel/request/classify.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pollenreel::request {
 
@@ -40,8 +41,9 @@
     return m_pending.size();
 }
 
-void core::on(const snapshot_changed& e, base::time_point, effects&) {
-    m_snapshot = e.snapshot;
+void core::on(const snapshot_changed& e, base::time_point now, effects&) {
+    const auto before = std::exchange(m_snapshot, e.snapshot);
+    begin_slow_starts(*before, now);
     for (auto& [key, at] : m_pools) {
         const auto service = m_snapshot->services.find(key.first);
         at.plan = service == m_snapshot->services.end()
@@ -52,6 +54,26 @@
     }
 }
 
+void core::begin_slow_starts(const routing::snapshot& before,
+                             base::time_point now) {
+    for (const auto& [id, service] : m_snapshot->services) {
+        const auto old = before.services.find(id);
+        if (old == before.services.end()) {
+            continue; // all are new to this thread, none to the fleet
+        }
+        for (const auto& t : service.targets) {
+            const bool took_work =
+                std::any_of(old->second.targets.begin(),
+                            old->second.targets.end(), [&](const auto& o) {
+                                return o.id == t.id && o.accepts_new_work;
+                            });
+            if (t.accepts_new_work && !took_work) {
+                m_book.begin_slow_start(t.id, service.slow_start, now);
+            }
+        }
+    }
+}
+
 void core::on(const arrival& e, base::time_point now, effects& out) {
     ++m_counters.requests;
     auto c = classify(e, *m_snapshot, now);
@@ -190,9 +212,11 @@
         return refusal{outcome::not_run, reason::deadline_expired};
     }
     const auto wanted = preferred(p, pool_of(p));
-    auto chosen =
-        choose_target(p.request, p.region, *m_snapshot, m_options.choose,
-                      m_book, {p.tried, wanted}, now, m_random);
+    const auto& plan = pool_of(p).plan;
+    auto chosen = choose_target(
+        p.request, p.region, *m_snapshot, m_options.choose, m_book,
+        {p.tried, wanted, plan.subset, plan.connections_per_target}, now,
+        m_random);
     if (const auto* r = std::get_if<refusal>(&chosen)) {
         return *r;
     }
@@ -209,7 +233,8 @@
     m_counters.retries += why == cause::retry ? 1 : 0;
     m_counters.hedges += why == cause::hedge ? 1 : 0;
     out.emplace_back(open_attempt{id, p.request.id, to, p.request.deadline,
-                                  p.request.kind.idempotent});
+                                  p.request.kind.idempotent,
+                                  plan.connections_per_target});
     return std::nullopt;
 }
 
--- a/pollenreel/request/core.hpp
+++ b/pollenreel/request/core.hpp
@@ -68,6 +68,8 @@
     choice to;
     base::time_point deadline;
     bool idempotent = false;
+    // Most connections to the target, idle ones included.
+    std::uint32_t most_connections = 1;
 };
 struct send_attempt { // write the request on it
     base::attempt_id attempt;
@@ -170,6 +172,9 @@
     void on(const tick& e, base::time_point now, effects& out);
     void on(const stop_requested& e, base::time_point now, effects& out);
 
+    // Has the targets that take work again, or for the first time, warm up.
+    void begin_slow_starts(const routing::snapshot& before,
+                           base::time_point now);
     kind_state& state_of(const classified& c);
     pool& pool_of(const pending& p);
     // Starts the request, or has it wait in its line.
--- a/pollenreel/request/service_plan.cpp
+++ b/pollenreel/request/service_plan.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -46,6 +47,30 @@
     return ids;
 }
 
+// Connections to one target without which a thread could not have a request
+// under way while it replaces a connection.
+constexpr std::uint32_t least_connections = 2;
+
+// The threads that share one shuffled list of targets make up a round; each
+// takes its own piece of the list.
+std::vector<base::target_id>
+deal_subset(std::vector<const routing::target*> targets, std::size_t size,
+            std::size_t own_rank) {
+    const auto pieces = targets.size() / size;
+    const auto round = own_rank / pieces;
+    std::sort(targets.begin(), targets.end(),
+              [&](const auto* a, const auto* b) {
+                  return std::pair(weight_of(a->id.str(), ~round), a->id) <
+                         std::pair(weight_of(b->id.str(), ~round), b->id);
+              });
+    const auto first = (own_rank % pieces) * size;
+    std::vector<base::target_id> own;
+    for (auto i = first; i < first + size; ++i) {
+        own.push_back(targets[i]->id);
+    }
+    return own;
+}
+
 bool has_long_kind(const routing::service& service) {
     return std::any_of(service.kinds.begin(), service.kinds.end(),
                        [](const auto& k) { return k.long_running; });
@@ -74,6 +99,22 @@
     return static_cast<std::uint32_t>(std::max<std::uint64_t>(part, 1));
 }
 
+subset_size size_subsets(std::size_t targets, std::uint32_t sharers,
+                         std::uint32_t most) {
+    if (most == 0) {
+        return {targets, std::numeric_limits<std::uint32_t>::max()};
+    }
+    for (auto size = targets; size > 0; --size) {
+        const auto pieces = targets / size;
+        const auto rounds = (sharers + pieces - 1) / pieces;
+        const auto each = static_cast<std::uint32_t>(most / rounds);
+        if (each >= least_connections) {
+            return {size, each};
+        }
+    }
+    return {std::min<std::size_t>(targets, 1), 1};
+}
+
 service_plan make_plan(const routing::service& service,
                        const base::region_id& region,
                        const routing::snapshot& s, thread_place place) {
@@ -100,9 +141,15 @@
             plan.short_targets.push_back(t.id);
         }
     }
-    deal_long_slots(plan, long_targets,
-                    static_cast<std::size_t>(own) * place.threads +
-                        place.index);
+    const auto own_rank =
+        static_cast<std::size_t>(own) * place.threads + place.index;
+    const auto size = size_subsets(targets.size(), plan.sharers,
+                                   service.max_connections_per_target);
+    plan.connections_per_target = size.connections;
+    if (size.targets > 0 && size.targets < targets.size()) {
+        plan.subset = deal_subset(targets, size.targets, own_rank);
+    }
+    deal_long_slots(plan, long_targets, own_rank);
     return plan;
 }
 
--- a/pollenreel/request/service_plan.hpp
+++ b/pollenreel/request/service_plan.hpp
@@ -23,6 +23,11 @@
 };
 
 struct service_plan {
+    // Targets that this thread connects to, so that the whole fleet keeps to
+    // the connections that a target bears; empty: all of them.
+    std::vector<base::target_id> subset;
+    // Most connections of this thread to one target.
+    std::uint32_t connections_per_target = 1;
     // Targets that short work prefers; all of them when no kind is
     // long-running.
     std::vector<base::target_id> short_targets;
@@ -42,6 +47,17 @@
     [[nodiscard]] std::uint32_t part_of(std::uint64_t slots_in_all) const;
 };
 
+// The size of the subsets of `targets` and the connections to each, for
+// `sharers` that together open at most `most` to one target; 0: no limit.
+struct subset_size {
+    std::size_t targets = 0;
+    std::uint32_t connections = 1;
+};
+[[nodiscard]] subset_size
+size_subsets(std::size_t targets, std::uint32_t sharers, std::uint32_t most);
+
+// Deterministic subsetting (Beyer et al., Site Reliability Engineering, 2016,
+// chapter 20) spreads connections; with few sharers each has all targets.
 // Long-running work is kept to the targets that rank first by rendezvous
 // hashing (Thaler and Ravishankar, 1998), so that adding or removing a target
 // moves as little of it as can be. The slots are dealt out in hashed order.
--- a/pollenreel/request/short_behind_long_benchmark.cpp
+++ b/pollenreel/request/short_behind_long_benchmark.cpp
@@ -37,6 +37,7 @@
 declarations::service ledger_archive(bool classes) {
     declarations::service s;
     s.id = base::service_id("ledger-archive");
+    s.max_connections_per_target = 330;
     s.kinds = {{base::kind_id("lookup"), {"GET"}, true, 2000ms, 1},
                {base::kind_id("archive"), {"PUT"}, true, 600s, 9}};
     if (classes) {
--- a/pollenreel/request/tail_benchmark.cpp
+++ b/pollenreel/request/tail_benchmark.cpp
@@ -61,6 +61,7 @@
     o.targets.targets = targets;
     o.targets.slots = slots;
     o.service.id = base::service_id("bench-desk");
+    o.service.max_connections_per_target = 330;
     o.service.kinds = {{base::kind_id("lookup"), {"GET"}, true, 2000ms, 1}};
     testing::stream lookups;
     lookups.kind = base::kind_id("lookup");
--- a/pollenreel/request/target_book.cpp
+++ b/pollenreel/request/target_book.cpp
@@ -23,6 +23,10 @@
 // How long a target that shed an attempt counts as hot.
 constexpr base::duration full_for = 100ms;
 
+// Share of its usual work that a cold target begins with. Higher warms it
+// sooner and makes more requests wait for it meanwhile.
+constexpr double coldest = 0.1;
+
 double ratio_of(base::duration latency, base::duration usual) {
     if (usual <= base::duration::zero()) {
         return 1;
@@ -76,6 +80,10 @@
 void target_book::answered(base::attempt_id attempt, base::time_point now) {
     entry* e = nullptr;
     const auto a = take(attempt, e);
+    if (e->down) {
+        e->down = false;
+        e->cold_since = now;
+    }
     add_sample(*e, ratio_of(now - a.since, a.usual), now);
 }
 
@@ -91,6 +99,7 @@
 void target_book::failed(base::attempt_id attempt, base::time_point now) {
     entry* e = nullptr;
     take(attempt, e);
+    e->down = true;
     e->mean_ratio = std::max(e->mean_ratio, hot_ratio);
     add_sample(*e, most_ratio, now);
 }
@@ -101,6 +110,22 @@
     e->full_until = now + full_for;
 }
 
+void target_book::begin_slow_start(const base::target_id& t,
+                                   base::duration lasts, base::time_point now) {
+    auto& e = m_entries[t];
+    e.cold_since = now;
+    e.cold_for = lasts;
+}
+
+double target_book::warmth(const base::target_id& t,
+                           base::time_point now) const {
+    const auto* e = find(t);
+    if (e == nullptr || now - e->cold_since >= e->cold_for) {
+        return 1;
+    }
+    return std::max(coldest, ratio_of(now - e->cold_since, e->cold_for));
+}
+
 const target_book::entry* target_book::find(const base::target_id& t) const {
     const auto found = m_entries.find(t);
     return found == m_entries.end() ? nullptr : &found->second;
--- a/pollenreel/request/target_book.hpp
+++ b/pollenreel/request/target_book.hpp
@@ -32,6 +32,13 @@
     // The target refused the attempt for want of room.
     void shed(base::attempt_id attempt, base::time_point now);
 
+    // The target is cold from `now` on: new, or back from being out.
+    void begin_slow_start(const base::target_id& t, base::duration lasts,
+                          base::time_point now);
+    // Share of its usual work that the target is given, in (0, 1].
+    [[nodiscard]] double warmth(const base::target_id& t,
+                                base::time_point now) const;
+
     [[nodiscard]] std::uint32_t in_flight(const base::target_id& t) const;
     // Grows by one with each attempt of this thread.
     [[nodiscard]] std::uint64_t last_used(const base::target_id& t) const;
@@ -59,6 +66,9 @@
         base::duration retry_after{};
         base::time_point probe_at; // when hot
         base::time_point full_until;
+        base::time_point cold_since;
+        base::duration cold_for{};
+        bool down = false; // the last attempt failed
     };
 
     under_way take(base::attempt_id attempt, entry*& of);
--- a/testing/request/virtual_fleet.cpp
+++ b/testing/request/virtual_fleet.cpp
@@ -103,7 +103,9 @@
     }
 
     void schedule_arrival(std::size_t s) {
-        const auto rate = m_options.streams[s].per_second;
+        const auto& stream = m_options.streams[s];
+        const auto rate =
+            stream.per_second * (m_queue.now() >= m_begin ? stream.surge : 1);
         if (rate <= 0) {
             return;
         }
--- a/testing/request/virtual_fleet.hpp
+++ b/testing/request/virtual_fleet.hpp
@@ -22,6 +22,8 @@
     base::kind_id kind;
     // Poisson arrivals; 0 for none.
     double per_second = 0;
+    // The rate after the warm-up, as a multiple.
+    double surge = 1;
     // Callers that each send the next request when the last one ended.
     std::size_t closed_loop = 0;
     // Exponential; the same work for each attempt of a request.
