Do not start waiting requests that would come too late

Cause: under overload the line served requests with hardly any time left; a slot was spent and the caller heard unknown.

Change: a request that waited is refused as not-run when it has less time left than the 90th percentile of recent latencies of its kind takes.

--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -14,6 +14,10 @@
 // Attempts of one request, the first included. More would let a request walk
 // through a failing fleet.
 constexpr std::size_t most_attempts = 3;
+// A request that waited is not started when it has less time left than this
+// quantile of recent latencies takes. Higher wastes fewer slots on work that
+// comes too late and refuses more that would just have made it.
+constexpr double late_start = 0.9;
 // How often waiting long-running work looks for room that others left idle.
 constexpr base::duration recheck_period = std::chrono::seconds(1);
 
@@ -185,7 +189,14 @@
         return false;
     }
     line.remove(*first);
-    run(m_pending.at(*first), now, out);
+    auto& p = m_pending.at(*first);
+    const auto usual = state_of(p.request).latency.quantile(late_start);
+    if (now + usual.value_or(base::duration{}) > p.request.deadline) {
+        ++m_counters.shed;
+        refuse(*first, {outcome::not_run, reason::overloaded}, now, out);
+        return true;
+    }
+    run(p, now, out);
     return true;
 }
 
