Measure a shift under its cap in virtual time

Cause: caps and pace had no measure; slots were counted with the time on the way between regions, which held shifts back.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -4,6 +4,7 @@
 #include "pollenreel/measure/result.hpp"
 #include "pollenreel/node/node_benchmark.hpp"
 #include "pollenreel/request/benchmarks.hpp"
+#include "pollenreel/shift/benchmarks.hpp"
 
 #include <fmt/format.h>
 
@@ -32,6 +33,8 @@
          node::measure_path_cost},
         {"tail", true, "look-up latency while some targets are slowed",
          request::measure_tail},
+        {"cap", true, "a shift under its cap, with and without faults",
+         shift::measure_cap},
     };
     return all;
 }
--- a/pollenreel/shift/allowances.hpp
+++ b/pollenreel/shift/allowances.hpp
@@ -49,8 +49,8 @@
     std::map<base::region_id, usable_rate> ways;
     // Requests a second; without an entry there is no limit.
     std::map<place, usable_rate> limits;
-    // Requests in flight at another region's targets on behalf of a region
-    // whose own targets take no work.
+    // Slots that may be held at another region's targets on behalf of a
+    // region whose own targets take no work.
     std::map<place, std::uint32_t> spill;
 
     friend bool operator==(const allowances&, const allowances&) = default;
--- /dev/null
+++ b/pollenreel/shift/cap_benchmark.cpp
@@ -0,0 +1,163 @@
+#include "pollenreel/request/benchmarks.hpp"
+#include "pollenreel/shift/benchmarks.hpp"
+#include "testing/shift/virtual_regions.hpp"
+
+#include <algorithm>
+
+namespace pollenreel::shift {
+
+namespace {
+
+using namespace std::chrono_literals;
+using base::duration;
+using request::judged;
+using request::reported;
+using testing::regions_options;
+using testing::virtual_regions;
+
+constexpr std::uint64_t cap_megabits = 400;
+constexpr double cap_bytes_per_second = cap_megabits * 125'000.0;
+constexpr std::uint64_t cap_bytes_per_window =
+    static_cast<std::uint64_t>(cap_bytes_per_second / 10);
+constexpr double mean_answer_bytes = 20'000;
+constexpr std::chrono::seconds over = 120s;
+constexpr duration settled = 20s; // from the start of the fleet
+constexpr duration longest = 20min;
+constexpr double most_time = 1.25;
+// The fleet's caps are kept during faults if this many windows exceed them.
+constexpr double no_window = 0;
+
+regions_options workload(std::uint64_t seed, double demand_of_cap) {
+    regions_options o;
+    o.seed = seed;
+    o.shift_cap_megabits = cap_megabits;
+    const double requests =
+        cap_bytes_per_second * demand_of_cap / mean_answer_bytes;
+    o.requests_per_second = {requests / 2, requests / 2};
+    o.elsewhere = 0.3;
+    return o;
+}
+
+double seconds(duration d) {
+    return std::chrono::duration<double>(d).count();
+}
+
+// Seconds until all is moved, or until the longest time is over.
+double time_to_finish(const regions_options& o) {
+    virtual_regions f(o);
+    f.run_until(settled);
+    f.command_shift(over);
+    while (f.moved() < 1 && f.now() < settled + longest) {
+        f.run_until(f.now() + 100ms);
+    }
+    return seconds(f.now() - settled);
+}
+
+// Seconds until `bytes` were moved, or until the longest time is over.
+double time_to_move(const regions_options& o, std::uint64_t bytes) {
+    virtual_regions f(o);
+    f.run_until(settled);
+    f.command_shift(over);
+    while (f.bytes_moved() < bytes && f.now() < settled + longest) {
+        f.run_until(f.now() + 100ms);
+    }
+    return seconds(f.now() - settled);
+}
+
+// Of a mover that follows the pace and fills the cap without loss.
+double ideal_time_to_move(double bytes, double demand_of_cap) {
+    const double demand = cap_bytes_per_second * demand_of_cap;
+    const double full_at = seconds(over) / demand_of_cap;
+    const double by_then = demand / seconds(over) * full_at * full_at / 2;
+    return full_at + (bytes - by_then) / cap_bytes_per_second;
+}
+
+struct fault_row {
+    const char* name;
+    void (*set)(regions_options& o);
+};
+
+const fault_row fault_rows[] = {
+    {"no faults", [](regions_options&) {}},
+    {"pauses and deaths",
+     [](regions_options& o) {
+         o.pauses_per_minute = 0.2;
+         o.deaths_per_minute = 0.1;
+     }},
+    {"store down 10 min, lost answers and messages",
+     [](regions_options& o) {
+         o.store_down_from = 3min;
+         o.store_down_for = 10min;
+         o.lost_answers = 0.1;
+         o.message_loss = 0.05;
+     }},
+    {"all faults",
+     [](regions_options& o) {
+         o.pauses_per_minute = 0.2;
+         o.deaths_per_minute = 0.1;
+         o.store_down_from = 3min;
+         o.store_down_for = 10min;
+         o.lost_answers = 0.1;
+         o.message_loss = 0.05;
+     }},
+};
+
+measure::results windows_over(std::uint64_t seed, const fault_row& row) {
+    constexpr double demand_of_cap = 1.5;
+    auto o = workload(seed, demand_of_cap);
+    row.set(o);
+    virtual_regions f(o);
+    f.run_until(settled);
+    f.command_shift(over);
+    f.run_until(longest);
+    auto unpaced = o;
+    unpaced.paced = false;
+    virtual_regions baseline(unpaced);
+    baseline.run_until(settled);
+    baseline.command_shift(over);
+    baseline.run_until(4min);
+    const std::string name =
+        std::string("100 ms windows over the cap, ") + row.name;
+    const double used = static_cast<double>(f.bytes_moved()) /
+                        (seconds(longest - settled) * cap_bytes_per_second);
+    return {judged({"cap", name, seed},
+                   static_cast<double>(f.windows_over(cap_bytes_per_window)),
+                   "windows", no_window,
+                   static_cast<double>(
+                       baseline.windows_over(cap_bytes_per_window))),
+            reported(
+                {"cap", std::string("part of the cap used, ") + row.name, seed},
+                used, "1")};
+}
+
+measure::results one_seed(std::uint64_t seed) {
+    measure::results all;
+    for (const auto& row : fault_rows) {
+        const auto results = windows_over(seed, row);
+        all.insert(all.end(), results.begin(), results.end());
+    }
+    const auto fits = workload(seed, 0.75);
+    auto split = fits;
+    split.static_split = true;
+    all.push_back(judged({"cap", "shift of 75% of the cap finished", seed},
+                         time_to_finish(fits) / seconds(over), "x ideal",
+                         most_time, time_to_finish(split) / seconds(over)));
+    constexpr double demand_of_cap = 1.5;
+    constexpr double bytes = 120 * cap_bytes_per_second;
+    const auto saturating = workload(seed, demand_of_cap);
+    split = saturating;
+    split.static_split = true;
+    const double ideal = ideal_time_to_move(bytes, demand_of_cap);
+    all.push_back(judged({"cap", "6 GB moved under the cap", seed},
+                         time_to_move(saturating, bytes) / ideal, "x ideal",
+                         most_time, time_to_move(split, bytes) / ideal));
+    return all;
+}
+
+} // namespace
+
+measure::results measure_cap() {
+    return request::for_each_seed(one_seed);
+}
+
+} // namespace pollenreel::shift
--- a/pollenreel/shift/coordinator.cpp
+++ b/pollenreel/shift/coordinator.cpp
@@ -69,11 +69,10 @@
 void coordinator::on_traffic(const traffic_report& r) {
     for (const auto& [p, use] : r) {
         auto& own = m_own[p];
-        own.in_flight_sum += use.in_flight;
+        own.slots_sum += use.slots;
         ++own.samples;
         own.started += use.started;
         own.held_back += use.held_back;
-        own.in_flight = use.in_flight;
     }
 }
 
@@ -162,14 +161,13 @@
 void coordinator::report_load(base::time_point, effects& out) {
     load_report r{m_options.self.instance, {}};
     for (auto& [p, own] : m_own) {
-        const double mean =
-            own.samples == 0 ? 0 : own.in_flight_sum / own.samples;
+        const double mean = own.samples == 0 ? 0 : own.slots_sum / own.samples;
         r.at[p] = {mean, own.started, own.held_back};
         own.reported.push_back(mean);
         if (own.reported.size() > reports_remembered) {
             own.reported.pop_front();
         }
-        own.in_flight_sum = 0;
+        own.slots_sum = 0;
         own.samples = 0;
         own.started = 0;
         own.held_back = 0;
--- a/pollenreel/shift/coordinator.hpp
+++ b/pollenreel/shift/coordinator.hpp
@@ -88,11 +88,10 @@
         hold why = hold::none;
     };
     struct own_use { // of one place, since the latest report
-        double in_flight_sum = 0;
+        double slots_sum = 0;
         std::uint32_t samples = 0;
         std::uint64_t started = 0;
         std::uint64_t held_back = 0;
-        std::uint32_t in_flight = 0; // latest
         std::deque<double> reported;
     };
 
--- a/pollenreel/shift/coordinator_steps.cpp
+++ b/pollenreel/shift/coordinator_steps.cpp
@@ -69,7 +69,7 @@
     in.moved = t.moved.back().second;
     const bool old = now - t.moved.front().first >= cold_period;
     in.moved_before_cold_period = old ? t.moved.front().second : parts{};
-    in.slots_wanted = moved.in_flight + stays.in_flight;
+    in.slots_wanted = moved.slots + stays.slots;
     const double tried = static_cast<double>(moved.started + moved.held_back);
     in.held_back =
         tried == 0 ? 0 : static_cast<double>(moved.held_back) / tried;
--- a/pollenreel/shift/load_book.cpp
+++ b/pollenreel/shift/load_book.cpp
@@ -20,7 +20,7 @@
         ++sum.entries;
         for (const auto& [p, use] : r.what.at) {
             auto& to = sum.at[p];
-            to.in_flight += use.in_flight;
+            to.slots += use.slots;
             to.started += use.started;
             to.held_back += use.held_back;
         }
@@ -33,7 +33,7 @@
     for (const auto& [region, s] : m_summaries) {
         const auto found = s.what.at.find(p);
         if (region != without && found != s.what.at.end()) {
-            sum += found->second.in_flight;
+            sum += found->second.slots;
         }
     }
     return sum;
--- a/pollenreel/shift/load_book.hpp
+++ b/pollenreel/shift/load_book.hpp
@@ -29,7 +29,7 @@
 
     [[nodiscard]] load_summary summary(const base::region_id& region,
                                        base::time_point now) const;
-    // In flight at `p`, from all regions but `without`.
+    // Slots held at `p`, from all regions but `without`.
     [[nodiscard]] double used(const place& p,
                               const base::region_id& without = {}) const;
     // What the entries of `region` have at `p`.
--- a/pollenreel/shift/messages.hpp
+++ b/pollenreel/shift/messages.hpp
@@ -11,7 +11,7 @@
 
 // What one entry, or a region's entries together, have at a place.
 struct place_use {
-    double in_flight = 0;        // mean of the latest period
+    double slots = 0;            // held; mean of the latest period
     std::uint64_t started = 0;   // in the latest period
     std::uint64_t held_back = 0; // in the latest period, by a cap
 
--- a/pollenreel/shift/pacer.cpp
+++ b/pollenreel/shift/pacer.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-// How long a least round trip is believed. Trades what the link carries
-// against how soon a shorter path is noticed.
-constexpr std::chrono::seconds round_trip_period{30};
+// A least round trip is relied on from this many answers on.
+constexpr std::uint32_t enough_round_trips = 100;
 // Part of the least round trip that is relied on.
 constexpr double round_trip_margin = 0.95;
 
@@ -39,24 +38,16 @@
                    std::optional<base::duration> took, base::time_point now) {
     m_in_flight -= c.answer_bytes;
     m_received.add(answer_bytes, now);
-    if (took) {
-        note_round_trip(*took, now);
+    if (!took) {
+        return;
     }
-}
-
-void pacer::note_round_trip(base::duration took, base::time_point now) {
-    if (!m_period_began) {
-        m_period_began = now;
-    }
-    m_least_now = std::min(m_least_now, took);
-    if (now - *m_period_began >= round_trip_period) {
-        m_least_before = m_least_now;
-        m_least_now = base::duration::max();
-        m_period_began = now;
+    m_round_trip.add(*took, now);
+    if (++m_round_trips < enough_round_trips) {
+        return;
     }
-    const auto least = std::min(m_least_now, m_least_before);
     const auto relied_on = std::chrono::duration_cast<base::duration>(
-        std::chrono::duration<double>(least) * round_trip_margin);
+        std::chrono::duration<double>(*m_round_trip.value()) *
+        round_trip_margin);
     m_received.set_window(
         std::max<base::duration>(cap_window - relied_on, cap_window / 100));
 }
--- a/pollenreel/shift/pacer.hpp
+++ b/pollenreel/shift/pacer.hpp
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "pollenreel/base/clock.hpp"
+#include "pollenreel/shift/recent_least.hpp"
 #include "pollenreel/shift/sliding_sum.hpp"
 
 #include <chrono>
@@ -51,15 +52,11 @@
     [[nodiscard]] std::uint64_t bytes_in_flight() const { return m_in_flight; }
 
 private:
-    void note_round_trip(base::duration took, base::time_point now);
-
     sliding_sum m_sent{cap_window};
     sliding_sum m_received{cap_window};
     std::uint64_t m_in_flight = 0;
-    // The least round trip of the current and the previous period.
-    base::duration m_least_now = base::duration::max();
-    base::duration m_least_before{0};
-    std::optional<base::time_point> m_period_began;
+    recent_least m_round_trip;
+    std::uint32_t m_round_trips = 0;
 };
 
 } // namespace pollenreel::shift
--- a/pollenreel/shift/plan.hpp
+++ b/pollenreel/shift/plan.hpp
@@ -28,7 +28,7 @@
 // Measurements older than this hold a shift where it is.
 constexpr std::chrono::seconds oldest_measurement{10};
 // Part of the moved requests that the cap may hold back before a shift waits.
-constexpr double most_held_back = 0.02;
+constexpr double most_held_back = 0.1;
 
 // Why a shift is not further than it is.
 enum class hold {
--- a/pollenreel/shift/spender.cpp
+++ b/pollenreel/shift/spender.cpp
@@ -57,6 +57,7 @@
 }
 
 decision spender::decide(const candidate& c, base::time_point now) {
+    m_own = c.own;
     const cost k{c.request_bytes, expected_answer(c.service)};
     if (const auto* m = move_of(c)) {
         const go there{c.service, m->to, m->shift, true, k};
@@ -84,7 +85,7 @@
                               ? 0
                               : spill_for(allowed->second, c.priority);
         const go there{c.service, region, std::nullopt, true, k};
-        if (m_report[p].in_flight >= most) {
+        if (m_report[p].in_flight * busy_part(p, c.own) >= most) {
             why = refused_for::headroom;
             ++m_report[p].held_back;
         } else if (!may_cross(there, now)) {
@@ -160,6 +161,7 @@
     if (answer_bytes) {
         learn_answer(to.service, *answer_bytes);
         took = now - since;
+        learn_time({to.service, to.to}, *took, now);
     }
     // Without a whole answer any part of it may have come.
     const auto received = answer_bytes.value_or(to.cost.answer_bytes);
@@ -173,6 +175,9 @@
 }
 
 traffic_report spender::take_report() {
+    for (auto& [p, r] : m_report) {
+        r.slots = r.in_flight * busy_part(p, m_own);
+    }
     auto taken = m_report;
     for (auto& [p, r] : m_report) {
         r.started = 0;
@@ -184,6 +189,26 @@
     return taken;
 }
 
+void spender::learn_time(const place& p, base::duration took,
+                         base::time_point now) {
+    auto& t = m_times[p];
+    t.least.add(took, now);
+    const auto s = std::chrono::duration<double>(took).count();
+    t.mean_s += (t.mean_s == 0 ? 1 : newest_weight) * (s - t.mean_s);
+}
+
+double spender::busy_part(const place& p, const base::region_id& own) const {
+    const auto there = m_times.find(p);
+    const auto here = m_times.find({p.first, own});
+    if (p.second == own || there == m_times.end() || here == m_times.end()) {
+        return 1; // the way there is not known apart from the work
+    }
+    // The quickest answers differ by the way alone.
+    const auto way = *there->second.least.value() - *here->second.least.value();
+    const auto way_s = std::chrono::duration<double>(way).count();
+    return std::clamp(1 - way_s / there->second.mean_s, 0.0, 1.0);
+}
+
 std::uint64_t spender::expected_answer(const base::service_id& s) const {
     const auto found = m_answer_bytes.find(s);
     return static_cast<std::uint64_t>(
--- a/pollenreel/shift/spender.hpp
+++ b/pollenreel/shift/spender.hpp
@@ -49,6 +49,8 @@
     std::uint64_t bytes = 0;
     std::uint64_t held_back = 0; // stayed or was refused for the cap
     std::uint32_t in_flight = 0; // now
+    // Of the place's slots that these hold: without their time on the way.
+    double slots = 0;
 
     friend bool operator==(const place_report&, const place_report&) = default;
 };
@@ -76,6 +78,11 @@
         base::time_point since;
     };
 
+    struct place_times {
+        recent_least least;
+        double mean_s = 0; // moving average
+    };
+
     [[nodiscard]] const moved_part* move_of(const candidate& c) const;
     [[nodiscard]] bool may_cross(const go& g, base::time_point now);
     [[nodiscard]] bool within_limit(const place& p, base::time_point now);
@@ -83,6 +90,10 @@
                                  base::time_point now);
     [[nodiscard]] std::uint64_t
     expected_answer(const base::service_id& s) const;
+    // The part of its time that an attempt at `p` holds a slot there.
+    [[nodiscard]] double busy_part(const place& p,
+                                   const base::region_id& own) const;
+    void learn_time(const place& p, base::duration took, base::time_point now);
     void learn_answer(const base::service_id& s, std::uint64_t bytes);
 
     allowances_ptr m_allowances;
@@ -92,6 +103,8 @@
     std::map<base::service_id, double> m_answer_bytes; // moving average
     boost::unordered_flat_map<base::attempt_id, running> m_running;
     traffic_report m_report;
+    std::map<place, place_times> m_times;
+    base::region_id m_own;
 };
 
 // Whether `id` is among the `fraction` of requests that a shift moves. The
