Learn the members by SWIM over a bounded set of neighbours

Cause: every instance sent heartbeats to every other, so traffic and connections grew with the fleet; a silent member stayed named for 2 s and a stale past could come back.

Change: library pollenreel/membership. Probes of five neighbours on hash rings (three over the fleet, two over the region), indirect probes, suspicion, incarnations, news to at most 24 contacts within a byte budget, anti-entropy by bucket digests, acknowledged versions as bits of the list of names. The platform's list introduces and hastens probes, nothing more. An instance drained by command stops as if told to end; the drained are not named. Replaces control/member_table; its test of silence became a table over the states, which holds more: suspects, refutation, a stale past, drains.

The whole list's acknowledgements stand beside the feed's regional floors; one of the two can go later.

--- a/cli/render.cpp
+++ b/cli/render.cpp
@@ -92,12 +92,12 @@
     std::string all =
         fmt::format("version {} by {}: {}\n{}\n\n", text(a, "version"),
                     text(a, "author"), text(a, "summary"), in_force_text(a));
-    text_table t({"INSTANCE", "DOMAIN", "STATE", "APPLIED", "SILENT"});
+    text_table t({"INSTANCE", "DOMAIN", "STATE", "APPLIED", "SINCE"});
     t.add(
         {text(a, "instance") + " (asked)", "", "live", text(a, "version"), ""});
     for (const auto& m : a.at("members").as_array()) {
         t.add({text(m, "instance"), text(m, "failure_domain"), text(m, "state"),
-               text(m, "applied"), text(m, "silent_ms") + " ms"});
+               text(m, "applied"), text(m, "since_ms") + " ms"});
     }
     const auto commanded = render_commanded(a.at("commanded"));
     return all + t.text() + (commanded.empty() ? "" : "\n" + commanded);
--- a/pollenreel/control/answers.cpp
+++ b/pollenreel/control/answers.cpp
@@ -16,21 +16,26 @@
 
 namespace json = boost::json;
 
-json::object member_json(const known_member& m, base::time_point now,
+const char* state_name(const membership::entry& m) {
+    switch (m.state) {
+    case peer::member_state::suspect:
+        return "suspect";
+    case peer::member_state::dead:
+        return "dead";
+    case peer::member_state::live:
+        break;
+    }
+    return m.member.leaving ? "leaving" : "live";
+}
+
+json::object member_json(const membership::entry& m, base::time_point now,
                          base::config_version current) {
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
-    const auto silent = now - m.last_heard;
-    const char* state = "live";
-    if (m.member.leaving) {
-        state = "leaving";
-    } else if (silent >= silence_limit) {
-        state = "silent";
-    }
     return {{"instance", m.member.instance.str()},
             {"failure_domain", m.member.failure_domain.str()},
-            {"state", state},
-            {"silent_ms", duration_cast<milliseconds>(silent).count()},
+            {"state", state_name(m)},
+            {"since_ms", duration_cast<milliseconds>(now - m.since).count()},
             {"applied", m.applied.value()},
             {"current", m.applied >= current}};
 }
@@ -105,14 +110,15 @@
         v);
 }
 
-std::string
-status_json(const declarations::configuration& current,
-            const peer::member& self,
-            const std::map<base::instance_id, known_member>& members,
-            base::time_point now, const feed::feed& feed) {
+std::string status_json(const declarations::configuration& current,
+                        const peer::member& self,
+                        const membership::roster& members, base::time_point now,
+                        const feed::feed& feed) {
     json::array list;
-    for (const auto& [id, m] : members) {
-        list.emplace_back(member_json(m, now, current.version));
+    for (const auto& [id, m] : members.all()) {
+        if (id != self.instance) {
+            list.emplace_back(member_json(m, now, current.version));
+        }
     }
     const auto coverage = feed.coverage_of(current.version);
     return json::serialize(
--- a/pollenreel/control/answers.hpp
+++ b/pollenreel/control/answers.hpp
@@ -11,8 +11,7 @@
 
 [[nodiscard]] std::string
 status_json(const declarations::configuration& current,
-            const peer::member& self,
-            const std::map<base::instance_id, known_member>& members,
+            const peer::member& self, const membership::roster& members,
             base::time_point now, const feed::feed& feed);
 
 [[nodiscard]] answer_operator
--- a/pollenreel/control/core.cpp
+++ b/pollenreel/control/core.cpp
@@ -5,14 +5,11 @@
 #include "pollenreel/control/explain.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace pollenreel::control {
 
 namespace {
 
-// Trades bytes between instances against how soon a death is noticed.
-constexpr std::chrono::milliseconds heartbeat_period{500};
 // A seed of its own for each start of each instance.
 std::uint64_t seed_of(const peer::member& self) {
     return feed::checksum(self.instance.str()) ^ self.incarnation;
@@ -34,24 +31,31 @@
     return {m.instance, region_of(d, m.failure_domain), m.peer_address};
 }
 
-bool due(std::optional<base::time_point>& last, base::duration period,
-         base::time_point now) {
-    if (last && now - *last < period) {
-        return false;
+routing::instance as_instance(const peer::member& m) {
+    return {m.instance, m.failure_domain, m.caller_address};
+}
+
+void send_all(membership::outbox messages, effects& out) {
+    for (auto& m : messages) {
+        out.emplace_back(send_peer{m.to, std::move(m.message)});
     }
-    last = now;
-    return true;
 }
 
-routing::instance as_instance(const peer::member& m) {
-    return {m.instance, m.failure_domain, m.caller_address};
+membership::localities regions_of(const declarations::document& d) {
+    membership::localities regions;
+    for (const auto& r : d.regions) {
+        for (const auto& domain : r.failure_domains) {
+            regions.emplace(domain, r.id);
+        }
+    }
+    return regions;
 }
 
 } // namespace
 
-core::core(identity who)
+core::core(identity who, base::time_point now)
     : m_who(std::move(who)), m_committer(m_who.configuration_key),
-      m_members(m_who.self.instance),
+      m_membership(m_who.self, m_who.seeds, ~seed_of(m_who.self), now),
       m_feed(as_feed_member({}, m_who.self), m_who.seeds,
              m_who.configuration_key, seed_of(m_who.self)) {}
 
@@ -62,12 +66,10 @@
 }
 
 void core::on(const tick&, base::time_point now, effects& out) {
-    if (due(m_last_heartbeat, heartbeat_period, now)) {
-        send_heartbeats(out);
-    }
+    tick_membership(now, out);
     tell_feed_members(now, out);
     run(m_feed.on_tick(now), now, out);
-    republish(now, out);
+    republish(out);
 }
 
 void core::on(const store_replied& e, base::time_point now, effects& out) {
@@ -81,25 +83,44 @@
     run(m_feed.on_report(e.report, now), now, out);
 }
 
+template <class Message>
+void core::on_message(const Message& m, base::time_point now, effects& out) {
+    membership::outbox to_send;
+    if constexpr (requires { m_membership.receive(m, now, to_send); }) {
+        m_membership.receive(m, now, to_send);
+        send_all(std::move(to_send), out);
+        if constexpr (requires { m.gossip; }) {
+            m_feed.on_applied(m.sender, m.gossip.applied);
+        }
+        tell_feed_members(now, out);
+        republish(out);
+    } else {
+        run(m_feed.on_message(m, now), now, out);
+    }
+}
+
 void core::on(const peer_received& e, base::time_point now, effects& out) {
-    std::visit([&](const auto& m) { on(m, now, out); }, e.message);
+    std::visit([&](const auto& m) { on_message(m, now, out); }, e.message);
 }
 
-void core::on(const peer::heartbeat& m, base::time_point now, effects& out) {
-    m_members.on_heartbeat(m, now);
-    m_feed.on_applied(m.sender.instance, m.applied);
-    tell_feed_members(now, out);
-    republish(now, out);
+void core::on(const platform_list_changed& e, base::time_point, effects&) {
+    m_membership.platform_list_changed(e.instances);
+}
+
+void core::tick_membership(base::time_point now, effects& out) {
+    membership::outbox to_send;
+    m_membership.tick(now, to_send);
+    send_all(std::move(to_send), out);
 }
 
 void core::on(const query_received& e, base::time_point now, effects& out) {
     std::visit(
         base::overloaded{
             [&](const language::status&) {
-                out.emplace_back(
-                    answer_operator{e.call, answer_status::ok,
-                                    status_json(m_configuration, m_who.self,
-                                                m_members.all(), now, m_feed)});
+                out.emplace_back(answer_operator{
+                    e.call, answer_status::ok,
+                    status_json(m_configuration, m_who.self,
+                                m_membership.members(), now, m_feed)});
             },
             [&](const language::where& q) {
                 out.emplace_back(
@@ -138,9 +159,12 @@
     out.emplace_back(plan_answer(e.call, e.document, m_configuration));
 }
 
-void core::on(const stop_requested&, base::time_point, effects& out) {
-    m_who.self.leaving = true;
-    send_heartbeats(out);
+void core::on(const stop_requested&, base::time_point now, effects& out) {
+    m_stopping = true;
+    m_membership.set_leaving(true, now);
+    tick_membership(now, out);
+    tell_feed_members(now, out);
+    republish(out);
 }
 
 void core::take_step(committer::step s, base::time_point now, effects& out) {
@@ -185,20 +209,27 @@
 
 void core::apply(declarations::configuration c, base::time_point now,
                  effects& out) {
+    const bool starting = m_configuration.version == base::config_version();
     m_configuration = std::move(c);
     m_committer.learn(m_configuration);
-    m_published.clear();
-    republish(now, out);
-    tell_feed_members(now, out); // regions may have changed
+    m_membership.set_regions(regions_of(m_configuration.declared));
+    m_membership.set_applied(m_configuration.version);
+    obey_drains(now, starting, out);
+    m_published_generation = 0;
+    republish(out);
+    m_told_generation = 0; // regions may have changed
+    tell_feed_members(now, out);
 }
 
 void core::tell_feed_members(base::time_point now, effects& out) {
-    std::vector<feed::member> live;
-    if (!m_who.self.leaving) {
-        live.push_back(as_feed_member(m_configuration.declared, m_who.self));
+    const auto generation = m_membership.members().usable_generation();
+    if (generation == m_told_generation) {
+        return;
     }
-    for (const auto& m : m_members.usable(now)) {
-        live.push_back(as_feed_member(m_configuration.declared, m.member));
+    m_told_generation = generation;
+    std::vector<feed::member> live;
+    for (const auto& m : m_membership.usable_members()) {
+        live.push_back(as_feed_member(m_configuration.declared, m));
     }
     if (live != m_live) {
         m_live = live;
@@ -206,35 +237,36 @@
     }
 }
 
-void core::send_heartbeats(effects& out) {
-    peer::heartbeat h{m_who.self, m_configuration.version, {}};
-    for (const auto& [id, m] : m_members.all()) {
-        h.known.push_back(m.member);
-    }
-    std::set<base::endpoint> to(m_who.seeds.begin(), m_who.seeds.end());
-    for (const auto& address : m_members.addresses()) {
-        to.insert(address);
+// A drained instance stops as if told to end. One that finds itself drained
+// when it starts stays up without being named, so that a supervisor does not
+// start it again and again, and an undrain brings it back.
+void core::obey_drains(base::time_point now, bool starting, effects& out) {
+    if (m_stopping) {
+        return;
     }
-    to.erase(m_who.self.peer_address);
-    for (const auto& address : to) {
-        out.emplace_back(send_peer{address, h});
+    const bool drained = m_configuration.commanded.drained_instances.contains(
+        m_who.self.instance);
+    m_membership.set_leaving(drained, now);
+    if (drained && !starting) {
+        m_stopping = true;
+        out.emplace_back(stop_instance{});
     }
 }
 
-void core::republish(base::time_point now, effects& out) {
-    std::vector<routing::instance> usable;
-    if (!m_who.self.leaving) {
-        usable.push_back(as_instance(m_who.self));
-    }
-    for (const auto& m : m_members.usable(now)) {
-        usable.push_back(as_instance(m.member));
-    }
-    if (usable == m_published) {
+void core::republish(effects& out) {
+    const auto generation = m_membership.members().usable_generation();
+    if (generation == m_published_generation) {
         return;
     }
-    m_published = usable;
+    m_published_generation = generation;
+    std::vector<routing::instance> named;
+    for (const auto& m : m_membership.usable_members()) {
+        if (!m_configuration.commanded.drained_instances.contains(m.instance)) {
+            named.push_back(as_instance(m));
+        }
+    }
     m_snapshot = routing::compile(m_configuration, as_instance(m_who.self),
-                                  std::move(usable));
+                                  std::move(named));
     out.emplace_back(publish{m_snapshot});
 }
 
--- a/pollenreel/control/core.hpp
+++ b/pollenreel/control/core.hpp
@@ -13,9 +13,9 @@
 
 #include "pollenreel/base/clock.hpp"
 #include "pollenreel/control/committer.hpp"
-#include "pollenreel/control/member_table.hpp"
 #include "pollenreel/feed/feed.hpp"
 #include "pollenreel/language/command.hpp"
+#include "pollenreel/membership/core.hpp"
 #include "pollenreel/peer/message.hpp"
 #include "pollenreel/routing/snapshot.hpp"
 #include "pollenreel/store/messages.hpp"
@@ -64,9 +64,12 @@
     declarations::document document;
 };
 struct stop_requested {};
+struct platform_list_changed {
+    std::vector<membership::platform_entry> instances;
+};
 using event = std::variant<tick, store_replied, watch_reported, peer_received,
                            query_received, change_received, plan_received,
-                           stop_requested>;
+                           stop_requested, platform_list_changed>;
 
 // Effects. At most one watch is open: opening one closes the one before.
 using feed::close_watch;
@@ -88,8 +91,9 @@
     answer_status status;
     std::string json;
 };
+struct stop_instance {}; // operators drained it: as if told to end
 using effect = std::variant<call_store, open_watch, close_watch, send_peer,
-                            publish, answer_operator>;
+                            publish, answer_operator, stop_instance>;
 using effects = std::vector<effect>;
 
 struct identity {
@@ -100,7 +104,7 @@
 
 class core {
 public:
-    explicit core(identity who);
+    core(identity who, base::time_point now);
 
     [[nodiscard]] effects handle(const event& e, base::time_point now);
     [[nodiscard]] base::config_version applied() const {
@@ -117,11 +121,10 @@
     void on(const plan_received& e, base::time_point now, effects& out);
     void on(const stop_requested& e, base::time_point now, effects& out);
 
-    void on(const peer::heartbeat& m, base::time_point now, effects& out);
-    template <class FeedMessage>
-    void on(const FeedMessage& m, base::time_point now, effects& out) {
-        run(m_feed.on_message(m, now), now, out);
-    }
+    void on(const platform_list_changed& e, base::time_point now, effects& out);
+    // One for membership's messages, one for the feed's.
+    template <class Message>
+    void on_message(const Message& m, base::time_point now, effects& out);
 
     void take_step(committer::step s, base::time_point now, effects& out);
     void run(feed::effects from, base::time_point now, effects& out);
@@ -129,17 +132,19 @@
                effects& out);
     // Tells the feed who is live, if that or the regions changed.
     void tell_feed_members(base::time_point now, effects& out);
-    void send_heartbeats(effects& out);
-    void republish(base::time_point now, effects& out);
+    void tick_membership(base::time_point now, effects& out);
+    void obey_drains(base::time_point now, bool starting, effects& out);
+    void republish(effects& out);
 
     identity m_who;
     declarations::configuration m_configuration;
     committer m_committer;
-    member_table m_members;
+    membership::core m_membership;
     std::map<base::command_id, call_id> m_waiting; // operators' calls
-    std::vector<routing::instance> m_published;
+    std::uint64_t m_published_generation = 0;      // of the usable members
+    std::uint64_t m_told_generation = 0;
+    bool m_stopping = false;
     routing::snapshot_ptr m_snapshot = std::make_shared<routing::snapshot>();
-    std::optional<base::time_point> m_last_heartbeat;
     feed::feed m_feed;
     std::vector<feed::member> m_live; // as the feed was told
 };
--- a/pollenreel/control/core_test.cpp
+++ b/pollenreel/control/core_test.cpp
@@ -28,11 +28,13 @@
     return c;
 }
 
+control::event push(const declarations::configuration& c) {
+    return control::peer_received{feed::push{
+        {"127.0.0.1", 7001}, c.version, {}, declarations::encode(c)}};
+}
+
 control::event push(std::uint64_t v) {
-    return control::peer_received{feed::push{{"127.0.0.1", 7001},
-                                             base::config_version(v),
-                                             {},
-                                             declarations::encode(version(v))}};
+    return push(version(v));
 }
 
 template <class Effect>
@@ -58,7 +60,7 @@
         {"the same again", 5, 5},
         {"a newer one, with a gap", 9, 9},
     };
-    control::core c({named("a", 7000), {}, "k"});
+    control::core c({named("a", 7000), {}, "k"}, start);
     for (const auto& r : rows) {
         CAPTURE(r.name);
         const auto before = c.applied();
@@ -68,26 +70,62 @@
     }
 }
 
-TEST_CASE("a silent or leaving member is no longer named") {
-    control::core c({named("a", 7000), {}, "k"});
-    (void)c.handle(push(1), start);
-    const auto instances = [](const control::effects& out) {
+TEST_CASE("only live members that are not leaving or drained are named") {
+    struct row {
+        const char* name;
+        peer::member_update said;
+        std::size_t named;
+    };
+    auto leaving = named("b", 7001);
+    leaving.leaving = true;
+    auto refuted = named("b", 7001);
+    refuted.incarnation = 2;
+    auto again = refuted;
+    again.incarnation = 3;
+    const row rows[] = {
+        {"a newcomer", {named("b", 7001), peer::member_state::live}, 2},
+        {"suspected", {named("b", 7001), peer::member_state::suspect}, 1},
+        {"refuted", {refuted, peer::member_state::live}, 2},
+        {"a stale past", {leaving, peer::member_state::live}, 2},
+        {"dead", {refuted, peer::member_state::dead}, 1},
+        {"restarted", {again, peer::member_state::live}, 2},
+    };
+    control::core c({named("a", 7000), {}, "k"}, start);
+    std::size_t instances = 0;
+    const auto take = [&](const control::effects& out) {
         for (const auto& e : out) {
             if (const auto* p = std::get_if<control::publish>(&e)) {
-                return p->snapshot->instances.size();
+                instances = p->snapshot->instances.size();
             }
         }
-        return std::size_t{0};
     };
-    const auto hear = [&](peer::member m, base::time_point at) {
-        return c.handle(control::peer_received{peer::heartbeat{
-                            std::move(m), base::config_version(1), {}}},
-                        at);
+    take(c.handle(push(1), start));
+    for (const auto& r : rows) {
+        INFO(std::string(r.name));
+        take(c.handle(control::peer_received{peer::news{base::instance_id("b"),
+                                                        {{}, 0, {r.said}, {}}}},
+                      start));
+        CHECK(instances == r.named);
+    }
+    auto drained = version(2);
+    drained.commanded.drained_instances.insert(base::instance_id("b"));
+    take(c.handle(push(drained), start));
+    CHECK(instances == 1);
+}
+
+TEST_CASE("an instance drained by command stops, unless it started drained") {
+    const auto drain_of_a = [](std::uint64_t v) {
+        auto c = version(v);
+        c.commanded.drained_instances.insert(base::instance_id("a"));
+        return push(c);
     };
-    CHECK(instances(hear(named("b", 7001), start)) == 2);
-    CHECK(instances(c.handle(control::tick{}, start + 2s)) == 1);
-    CHECK(instances(hear(named("b", 7001), start + 3s)) == 2);
-    auto leaving = named("b", 7001);
-    leaving.leaving = true;
-    CHECK(instances(hear(leaving, start + 3s)) == 1);
+    control::core running({named("a", 7000), {}, "k"}, start);
+    (void)running.handle(push(1), start);
+    CHECK(count<control::stop_instance>(running.handle(drain_of_a(2), start)) ==
+          1);
+    CHECK(count<control::stop_instance>(running.handle(drain_of_a(3), start)) ==
+          0);
+    control::core started({named("a", 7000), {}, "k"}, start);
+    CHECK(count<control::stop_instance>(started.handle(drain_of_a(2), start)) ==
+          0);
 }
--- /dev/null
+++ b/pollenreel/membership/core.hpp
@@ -0,0 +1,127 @@
+// Membership of the fleet as one instance sees it: SWIM (Das, Gupta and
+// Motivala, 2002) with suspicion, incarnations and indirect probes, over a
+// bounded set of neighbours, with anti-entropy. Traffic and connections of an
+// instance do not grow with the fleet. Pure: messages and time go in, messages
+// come out.
+//
+//   membership::core c(self, seeds, random_seed, now);
+//   membership::outbox out;
+//   c.tick(now, out);                    // every 100 ms
+//   c.receive(probe, now, out);
+//   for (const auto& e : c.members().all()) ...
+#pragma once
+
+#include "pollenreel/base/random.hpp"
+#include "pollenreel/membership/neighbours.hpp"
+#include "pollenreel/membership/outreach.hpp"
+#include "pollenreel/membership/prober.hpp"
+#include "pollenreel/membership/roster.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace pollenreel::membership {
+
+// An instance as the platform's list has it. The list lags and may be wrong:
+// it introduces instances, and has those that it says are leaving or does not
+// name probed at once; it never adds or removes one by itself.
+struct platform_entry {
+    base::instance_id instance;
+    base::endpoint peer_address;
+    bool leaving = false;
+};
+
+// Counts since start.
+struct counters {
+    std::uint64_t probes = 0;
+    std::uint64_t suspicions = 0;  // raised here
+    std::uint64_t refutations = 0; // of what was said about this instance
+    std::uint64_t syncs = 0;       // anti-entropy, asked for
+};
+
+class core {
+public:
+    // `seeds` are asked first and again whenever they are not among the
+    // living members.
+    core(peer::member self, std::vector<base::endpoint> seeds,
+         std::uint64_t seed, base::time_point now);
+
+    // To be called every 100 ms or so. A gap of more than `pause_limit`
+    // counts as a pause of this process: it judges nobody by it.
+    void tick(base::time_point now, outbox& out);
+    void receive(const peer::probe& m, base::time_point now, outbox& out);
+    void receive(const peer::probe_answer& m, base::time_point now,
+                 outbox& out);
+    void receive(const peer::probe_request& m, base::time_point now,
+                 outbox& out);
+    void receive(const peer::news& m, base::time_point now, outbox& out);
+    void receive(const peer::sync_request& m, base::time_point now,
+                 outbox& out);
+
+    // What this instance applies from now on.
+    void set_applied(base::config_version version);
+    // Whether this instance takes no new callers; told to all at once.
+    void set_leaving(bool leaving, base::time_point now);
+    void set_regions(localities regions);
+    void platform_list_changed(std::span<const platform_entry> list);
+
+    [[nodiscard]] const roster& members() const { return m_members; }
+    // The living members that may be named to callers, this one included.
+    [[nodiscard]] std::vector<peer::member> usable_members() const;
+    [[nodiscard]] const counters& counts() const { return m_counters; }
+    // Instances that this one keeps connections to.
+    [[nodiscard]] std::size_t contacts() const { return m_contact_count; }
+    [[nodiscard]] base::time_point next_wakeup() const;
+
+private:
+    void take(const base::instance_id& from, const peer::gossip& g,
+              base::time_point now);
+    void take(const base::instance_id& from, const peer::member_update& u,
+              base::time_point now);
+    void refute(const peer::member_update& said, base::time_point now);
+    void note_digest(const base::instance_id& from, std::uint64_t digest,
+                     base::time_point now);
+
+    void resume_after_pause(base::time_point now);
+    void expire_suspicions(base::time_point now);
+    void refresh_neighbours(base::time_point now);
+    void probe_next(base::time_point now, outbox& out);
+    void probe(const base::instance_id& id, base::time_point now, outbox& out);
+    void introduce(base::time_point now, outbox& out);
+    void chase_probes(base::time_point now, outbox& out);
+    void send_news(base::time_point now, outbox& out);
+    void start_sync(base::time_point now, outbox& out);
+    void send_differing(const peer::sync_request& m, base::time_point now,
+                        outbox& out);
+    [[nodiscard]] peer::gossip gossip_to(const base::instance_id& id);
+    [[nodiscard]] const base::instance_id& self() const;
+    [[nodiscard]] const base::endpoint& own_address() const;
+
+    roster m_members;
+    outreach m_outreach;
+    prober m_prober;
+    base::random m_random;
+    localities m_regions;
+    std::vector<base::instance_id> m_neighbours;
+    std::vector<base::endpoint> m_introductions; // seeds and the platform's
+    std::vector<base::endpoint> m_seeds;
+    std::vector<base::instance_id> m_probe_soon;
+    std::uint64_t m_neighbours_of = 0; // the names generation
+    std::size_t m_next_neighbour = 0;
+    std::uint64_t m_round = 0;
+    bool m_joined = false; // agreed with some other instance once
+    std::size_t m_contact_count = 0;
+    std::optional<base::time_point> m_last_tick;
+    base::time_point m_next_probe;
+    base::time_point m_next_introduction;
+    base::time_point m_next_sync;
+    base::time_point m_next_housekeeping;
+    byte_budget m_news_budget;
+    byte_budget m_sync_budget;
+    counters m_counters;
+};
+
+} // namespace pollenreel::membership
--- /dev/null
+++ b/pollenreel/membership/neighbours.cpp
@@ -0,0 +1,67 @@
+#include "pollenreel/membership/neighbours.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+namespace pollenreel::membership {
+
+namespace {
+
+std::uint64_t place(const base::instance_id& id, std::size_t ring) {
+    return XXH3_64bits_withSeed(id.str().data(), id.str().size(), ring + 1);
+}
+
+const std::string& locality(const peer::member& m, const localities& regions) {
+    const auto found = regions.find(m.failure_domain);
+    return found == regions.end() ? m.failure_domain.str()
+                                  : found->second.str();
+}
+
+// The first of the members that `Among` accepts after the own place.
+template <class Among>
+std::optional<base::instance_id> successor(const roster& members,
+                                           std::size_t ring, Among among) {
+    const auto& self = members.self().member.instance;
+    const auto own = place(self, ring);
+    std::optional<base::instance_id> best;
+    std::uint64_t best_distance = 0;
+    for (const auto& [id, e] : members.all()) {
+        if (id == self || !among(e.member)) {
+            continue;
+        }
+        const auto distance = place(id, ring) - own; // modulo 2^64
+        if (!best || distance < best_distance) {
+            best = id;
+            best_distance = distance;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+std::vector<base::instance_id> choose_neighbours(const roster& members,
+                                                 const localities& regions) {
+    std::vector<base::instance_id> chosen;
+    const auto add = [&](const std::optional<base::instance_id>& id) {
+        if (id &&
+            std::find(chosen.begin(), chosen.end(), *id) == chosen.end()) {
+            chosen.push_back(*id);
+        }
+    };
+    for (std::size_t ring = 0; ring < global_rings; ++ring) {
+        add(successor(members, ring, [](const auto&) { return true; }));
+    }
+    const auto own = locality(members.self().member, regions);
+    for (std::size_t ring = 0; ring < regional_rings; ++ring) {
+        add(successor(members, global_rings + ring, [&](const auto& m) {
+            return locality(m, regions) == own;
+        }));
+    }
+    return chosen;
+}
+
+} // namespace pollenreel::membership
--- /dev/null
+++ b/pollenreel/membership/outreach.cpp
@@ -0,0 +1,159 @@
+#include "pollenreel/membership/outreach.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace pollenreel::membership {
+
+namespace {
+
+constexpr std::size_t message_bytes = 72;
+constexpr std::size_t update_bytes = 88;
+constexpr std::size_t bits_per_byte = 8;
+
+std::uint64_t hash_text(const std::string& text, std::uint64_t seed) {
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+// The greatest version that any living member applies.
+base::config_version greatest_applied(const roster& members) {
+    base::config_version greatest;
+    for (const auto& [id, e] : members.all()) {
+        if (e.state != peer::member_state::dead) {
+            greatest = std::max(greatest, e.applied);
+        }
+    }
+    return greatest;
+}
+
+} // namespace
+
+bool byte_budget::has_left(base::time_point now) {
+    if (m_filled) {
+        const std::chrono::duration<double> passed = now - *m_filled;
+        m_left = std::min(m_burst, m_left + passed.count() * m_rate);
+    }
+    m_filled = now;
+    return m_left > 0;
+}
+
+contact* outreach::touch(const base::instance_id& id,
+                         const base::endpoint& address, base::time_point now) {
+    auto found = m_contacts.find(id);
+    if (found == m_contacts.end()) {
+        if (m_contacts.size() >= most_contacts) {
+            return nullptr;
+        }
+        found = m_contacts.emplace(id, contact{}).first;
+    }
+    found->second.address = address;
+    found->second.heard = now;
+    return &found->second;
+}
+
+contact* outreach::find(const base::instance_id& id) {
+    const auto found = m_contacts.find(id);
+    return found == m_contacts.end() ? nullptr : &found->second;
+}
+
+void outreach::drop_silent(base::time_point before,
+                           const std::vector<base::instance_id>& kept) {
+    std::erase_if(m_contacts, [&](const auto& c) {
+        return c.second.heard < before &&
+               std::find(kept.begin(), kept.end(), c.first) == kept.end();
+    });
+}
+
+void outreach::changed(const base::instance_id& member,
+                       const base::instance_id& source) {
+    for (auto& [id, c] : m_contacts) {
+        if (id != source && id != member) {
+            c.pending.insert(member);
+        }
+    }
+}
+
+peer::gossip outreach::gossip_for(contact& to, const roster& members) {
+    peer::gossip g;
+    g.applied = members.self().applied;
+    g.view_digest = members.digest();
+    auto& pending = to.pending;
+    while (!pending.empty() && g.updates.size() < most_updates) {
+        if (const auto* e = members.find(*pending.begin())) {
+            g.updates.push_back(members.update_of(*e));
+        }
+        pending.erase(pending.begin());
+    }
+    const auto& s = summarize(members);
+    if (s.hash != to.acknowledged_hash) {
+        to.acknowledged_hash = s.hash;
+        g.acknowledged = s.acknowledged;
+    }
+    return g;
+}
+
+bool outreach::take_acknowledged(const base::instance_id& from,
+                                 const peer::acknowledgements& acknowledged,
+                                 roster& members) {
+    const auto& own = summarize(members).acknowledged;
+    if (acknowledged.names_digest != own.names_digest ||
+        acknowledged.bits.size() != own.bits.size() ||
+        acknowledged.version < own.version) {
+        return false;
+    }
+    const bool news =
+        acknowledged != own &&
+        members.set_applied(acknowledged.bits, acknowledged.version);
+    if (news) {
+        m_summary.reset();
+    }
+    if (auto* c = find(from);
+        c != nullptr && summarize(members).acknowledged == acknowledged) {
+        c->acknowledged_hash = m_summary->hash;
+    }
+    return news;
+}
+
+bool outreach::owes(const contact& to, const roster& members) {
+    return !to.pending.empty() ||
+           summarize(members).hash != to.acknowledged_hash;
+}
+
+const outreach::summary& outreach::summarize(const roster& members) {
+    if (m_summary &&
+        m_summary->names_generation == members.names_generation()) {
+        return *m_summary;
+    }
+    summary s;
+    s.names_generation = members.names_generation();
+    s.acknowledged.version = greatest_applied(members);
+    std::size_t position = 0;
+    for (const auto& [id, e] : members.all()) {
+        if (e.state == peer::member_state::dead) {
+            continue;
+        }
+        auto& digest = s.acknowledged.names_digest;
+        digest = hash_text(id.str(), digest + e.member.incarnation);
+        if (position % bits_per_byte == 0) {
+            s.acknowledged.bits.push_back('\0');
+        }
+        if (e.applied >= s.acknowledged.version) {
+            s.acknowledged.bits.back() = static_cast<char>(
+                static_cast<unsigned char>(s.acknowledged.bits.back()) |
+                (1U << (position % bits_per_byte)));
+        }
+        ++position;
+    }
+    s.hash = hash_text(s.acknowledged.bits, s.acknowledged.names_digest ^
+                                                s.acknowledged.version.value());
+    m_summary = std::move(s);
+    return *m_summary;
+}
+
+std::size_t estimated_bytes(const peer::gossip& g) {
+    const auto bits = g.acknowledged ? g.acknowledged->bits.size() + 16 : 0;
+    return message_bytes + bits + g.updates.size() * update_bytes;
+}
+
+} // namespace pollenreel::membership
--- /dev/null
+++ b/pollenreel/membership/outreach.hpp
@@ -0,0 +1,93 @@
+// Decides what news goes to which contact and when: every change is offered
+// once to every contact, within a budget of bytes. Pure.
+//
+//   outreach o;
+//   o.changed(id, source);        // a member's entry changed
+//   auto g = o.gossip_for(contact, roster, most_updates);
+#pragma once
+
+#include "pollenreel/membership/roster.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pollenreel::membership {
+
+// Updates in one message at most.
+constexpr std::size_t most_updates = 16;
+// Contacts at most: those probed, and those that probe us.
+constexpr std::size_t most_contacts = 24;
+
+// A rate with a burst. Bounds what an instance sends beyond its probes.
+class byte_budget {
+public:
+    byte_budget(double bytes_per_second, double burst)
+        : m_rate(bytes_per_second), m_burst(burst), m_left(burst) {}
+
+    [[nodiscard]] bool has_left(base::time_point now);
+    void spend(std::size_t bytes) { m_left -= static_cast<double>(bytes); }
+
+private:
+    double m_rate;
+    double m_burst;
+    double m_left;
+    std::optional<base::time_point> m_filled;
+};
+
+struct contact {
+    base::endpoint address;
+    base::time_point heard;
+    std::set<base::instance_id> pending; // changed, not yet offered
+    std::uint64_t acknowledged_hash = 0; // of what both are known to hold
+    std::optional<base::time_point> differs_since;
+};
+
+class outreach {
+public:
+    // Adds or refreshes a contact; null when there are too many.
+    contact* touch(const base::instance_id& id, const base::endpoint& address,
+                   base::time_point now);
+    [[nodiscard]] contact* find(const base::instance_id& id);
+    // Drops contacts not heard since `before`, but for those of `kept`.
+    void drop_silent(base::time_point before,
+                     const std::vector<base::instance_id>& kept);
+    [[nodiscard]] std::map<base::instance_id, contact>& contacts() {
+        return m_contacts;
+    }
+
+    // A member's entry changed; `source` told us, if anyone.
+    void changed(const base::instance_id& member,
+                 const base::instance_id& source);
+    // What to tell `to` now. Its pending updates are taken off, up to
+    // `most_updates`; acknowledgements go along when it may not have them.
+    [[nodiscard]] peer::gossip gossip_for(contact& to, const roster& members);
+    // Takes in what a contact acknowledges. Returns whether that was news.
+    bool take_acknowledged(const base::instance_id& from,
+                           const peer::acknowledgements& acknowledged,
+                           roster& members);
+    // Whether there is anything that `to` has not been offered.
+    [[nodiscard]] bool owes(const contact& to, const roster& members);
+    // After any change of an applied version.
+    void applied_changed() { m_summary.reset(); }
+
+private:
+    struct summary {
+        std::uint64_t names_generation = 0;
+        std::uint64_t hash = 0;
+        peer::acknowledgements acknowledged;
+    };
+    const summary& summarize(const roster& members);
+
+    std::map<base::instance_id, contact> m_contacts;
+    std::optional<summary> m_summary;
+};
+
+// An upper estimate of the encoded size, in bytes.
+[[nodiscard]] std::size_t estimated_bytes(const peer::gossip& g);
+
+} // namespace pollenreel::membership
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -10,9 +10,11 @@
 #include "pollenreel/store/etcd_client.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
+#include <sodium.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -48,8 +50,8 @@
          log::logger log)
         : m_token(s.operators.token), m_traffic(std::move(traffic)),
           m_clock(clock), m_log(std::move(log)),
-          m_core(identity(s, incarnation)), m_tick(m_io), m_leave(m_io),
-          m_signals(m_io, SIGTERM, SIGINT),
+          m_core(identity(s, incarnation), clock.now()), m_tick(m_io),
+          m_leave(m_io), m_signals(m_io, SIGTERM, SIGINT),
           m_operators(m_io, server_options(s),
                       [this](const http::request& r, http::responder answer) {
                           on_call(r, std::move(answer));
@@ -146,6 +148,11 @@
         }
     }
 
+    void run(const control::stop_instance&) {
+        m_log.info("drained by command");
+        boost::asio::post(m_io, [this] { begin_leaving(); });
+    }
+
     void tick() {
         handle(control::tick{});
         m_tick.expires_after(control::tick_period);
@@ -170,12 +177,19 @@
             m_log.warning("ended by a second signal", {{"signal", signal}});
             std::_Exit(exit_on_second_signal);
         }
-        m_leaving = true;
         m_log.info("leaving",
                    {{"signal", signal},
                     {"hint", "a second signal ends the process at once"}});
-        handle(control::stop_requested{});
         wait_for_signal();
+        begin_leaving();
+    }
+
+    void begin_leaving() {
+        if (m_leaving) {
+            return;
+        }
+        m_leaving = true;
+        handle(control::stop_requested{});
         m_leave.expires_after(lookup::answer_time_to_live);
         m_leave.async_wait([this](const boost::system::error_code&) {
             for (auto* t : m_traffic) {
--- a/pollenreel/peer/codec.cpp
+++ b/pollenreel/peer/codec.cpp
@@ -1,6 +1,5 @@
 #include "pollenreel/peer/codec.hpp"
 
-#include "pollenreel/base/overloaded.hpp"
 #include "pollenreel/peer/feed_codec.hpp"
 #include "proto/peer.pb.h"
 
@@ -31,20 +30,87 @@
                   from.leaving()};
 }
 
-std::optional<message> read(const wire::Heartbeat& from) {
-    auto sender = read(from.sender());
-    if (!sender) {
-        return std::nullopt;
+void fill(wire::Gossip& to, const gossip& from) {
+    to.set_applied_version(from.applied.value());
+    to.set_view_digest(from.view_digest);
+    for (const auto& u : from.updates) {
+        auto& one = *to.add_updates();
+        fill(*one.mutable_member(), u.member);
+        one.set_state(static_cast<wire::MemberUpdate::State>(u.state));
+    }
+    if (from.acknowledged) {
+        auto& acks = *to.mutable_acknowledgements();
+        acks.set_version(from.acknowledged->version.value());
+        acks.set_names_digest(from.acknowledged->names_digest);
+        acks.set_bits(from.acknowledged->bits);
     }
-    heartbeat h{*sender, base::config_version(from.applied_version()), {}};
-    for (const auto& k : from.known()) {
-        auto one = read(k);
-        if (!one) {
+}
+
+std::optional<gossip> read(const wire::Gossip& from) {
+    gossip g;
+    g.applied = base::config_version(from.applied_version());
+    g.view_digest = from.view_digest();
+    for (const auto& u : from.updates()) {
+        auto one = read(u.member());
+        if (!one || !wire::MemberUpdate::State_IsValid(u.state())) {
             return std::nullopt;
         }
-        h.known.push_back(*one);
+        g.updates.push_back({*one, static_cast<member_state>(u.state())});
+    }
+    if (from.has_acknowledgements()) {
+        const auto& acks = from.acknowledgements();
+        g.acknowledged = {base::config_version(acks.version()),
+                          acks.names_digest(), acks.bits()};
+    }
+    return g;
+}
+
+std::optional<message> read(const wire::Probe& from) {
+    auto reply_to = base::parse_endpoint(from.reply_to());
+    auto g = read(from.gossip());
+    if (!reply_to || !g || from.sender().empty()) {
+        return std::nullopt;
+    }
+    return probe{base::instance_id(from.sender()), reply_to.value(),
+                 from.sequence(), std::move(*g)};
+}
+
+std::optional<message> read(const wire::ProbeAnswer& from) {
+    auto g = read(from.gossip());
+    if (!g || from.sender().empty()) {
+        return std::nullopt;
+    }
+    return probe_answer{base::instance_id(from.sender()), from.sequence(),
+                        std::move(*g)};
+}
+
+std::optional<message> read(const wire::ProbeRequest& from) {
+    auto reply_to = base::parse_endpoint(from.reply_to());
+    auto target = base::parse_endpoint(from.target());
+    if (!reply_to || !target || from.sender().empty()) {
+        return std::nullopt;
+    }
+    return probe_request{base::instance_id(from.sender()), reply_to.value(),
+                         from.sequence(), target.value()};
+}
+
+std::optional<message> read(const wire::News& from) {
+    auto g = read(from.gossip());
+    if (!g || from.sender().empty()) {
+        return std::nullopt;
     }
-    return h;
+    return news{base::instance_id(from.sender()), std::move(*g)};
+}
+
+std::optional<message> read(const wire::SyncRequest& from) {
+    auto reply_to = base::parse_endpoint(from.reply_to());
+    if (!reply_to || from.sender().empty()) {
+        return std::nullopt;
+    }
+    return sync_request{base::instance_id(from.sender()),
+                        reply_to.value(),
+                        {from.buckets().begin(), from.buckets().end()},
+                        from.answer()};
 }
 
 template <class One>
@@ -55,30 +121,60 @@
     return message(std::move(*one));
 }
 
+void fill(wire::Envelope& e, const probe& p) {
+    auto& to = *e.mutable_probe();
+    to.set_sender(p.sender.str());
+    to.set_reply_to(p.reply_to.str());
+    to.set_sequence(p.sequence);
+    fill(*to.mutable_gossip(), p.gossip);
+}
+
+void fill(wire::Envelope& e, const probe_answer& p) {
+    auto& to = *e.mutable_probe_answer();
+    to.set_sender(p.sender.str());
+    to.set_sequence(p.sequence);
+    fill(*to.mutable_gossip(), p.gossip);
+}
+
+void fill(wire::Envelope& e, const probe_request& p) {
+    auto& to = *e.mutable_probe_request();
+    to.set_sender(p.sender.str());
+    to.set_reply_to(p.reply_to.str());
+    to.set_sequence(p.sequence);
+    to.set_target(p.target.str());
+}
+
+void fill(wire::Envelope& e, const news& n) {
+    auto& to = *e.mutable_news();
+    to.set_sender(n.sender.str());
+    fill(*to.mutable_gossip(), n.gossip);
+}
+
+void fill(wire::Envelope& e, const sync_request& r) {
+    auto& to = *e.mutable_sync_request();
+    to.set_sender(r.sender.str());
+    to.set_reply_to(r.reply_to.str());
+    to.mutable_buckets()->Assign(r.buckets.begin(), r.buckets.end());
+    to.set_answer(r.answer);
+}
+
+void fill(wire::Envelope& e, const feed::push& p) {
+    peer::fill(*e.mutable_configuration_push(), p);
+}
+
+void fill(wire::Envelope& e, const feed::pull& p) {
+    peer::fill(*e.mutable_configuration_pull(), p);
+}
+
+void fill(wire::Envelope& e, const feed::digest& d) {
+    peer::fill(*e.mutable_configuration_digest(), d);
+}
+
 } // namespace
 
 std::string encode(const message& m) {
     wire::Envelope e;
-    std::visit(base::overloaded{
-                   [&](const heartbeat& h) {
-                       auto& to = *e.mutable_heartbeat();
-                       fill(*to.mutable_sender(), h.sender);
-                       to.set_applied_version(h.applied.value());
-                       for (const auto& k : h.known) {
-                           fill(*to.add_known(), k);
-                       }
-                   },
-                   [&](const feed::push& p) {
-                       fill(*e.mutable_configuration_push(), p);
-                   },
-                   [&](const feed::pull& p) {
-                       fill(*e.mutable_configuration_pull(), p);
-                   },
-                   [&](const feed::digest& d) {
-                       fill(*e.mutable_configuration_digest(), d);
-                   },
-               },
-               m);
+    std::visit([&](const auto& one) { fill(e, one); }, m);
     return e.SerializeAsString();
 }
 
@@ -89,8 +185,16 @@
         return std::nullopt;
     }
     switch (e.body_case()) {
-    case wire::Envelope::kHeartbeat:
-        return read(e.heartbeat());
+    case wire::Envelope::kProbe:
+        return read(e.probe());
+    case wire::Envelope::kProbeAnswer:
+        return read(e.probe_answer());
+    case wire::Envelope::kProbeRequest:
+        return read(e.probe_request());
+    case wire::Envelope::kNews:
+        return read(e.news());
+    case wire::Envelope::kSyncRequest:
+        return read(e.sync_request());
     case wire::Envelope::kConfigurationPush:
         return as_message(read(e.configuration_push()));
     case wire::Envelope::kConfigurationPull:
--- a/pollenreel/peer/codec_test.cpp
+++ b/pollenreel/peer/codec_test.cpp
@@ -17,14 +17,39 @@
 
 } // namespace
 
-TEST_CASE("a heartbeat survives the wire") {
-    const peer::heartbeat sent{sample(), base::config_version(9), {sample()}};
+TEST_CASE("a probe survives the wire") {
+    const peer::gossip gossip{base::config_version(9),
+                              77,
+                              {{sample(), peer::member_state::suspect}},
+                              {{base::config_version(9), 5, "bits"}}};
+    const peer::probe sent{
+        base::instance_id("khomas-a-1"), {"127.0.0.1", 7200}, 4, gossip};
     const auto got = peer::decode(peer::encode(sent));
     REQUIRE(got.has_value());
-    const auto& back = std::get<peer::heartbeat>(*got);
+    const auto& back = std::get<peer::probe>(*got);
     CHECK(back.sender == sent.sender);
-    CHECK(back.applied == sent.applied);
-    CHECK(back.known == sent.known);
+    CHECK(back.reply_to == sent.reply_to);
+    CHECK(back.sequence == sent.sequence);
+    CHECK(back.gossip == sent.gossip);
+}
+
+TEST_CASE("each kind of membership message comes back as what it was") {
+    const base::instance_id id("khomas-a-1");
+    const base::endpoint at{"127.0.0.1", 7200};
+    const peer::message rows[] = {
+        peer::probe{id, at, 1, {}},
+        peer::probe_answer{id, 2, {}},
+        peer::probe_request{id, at, 3, at},
+        peer::news{id, {}},
+        peer::sync_request{id, at, {1, 2}, true},
+    };
+    for (const auto& sent : rows) {
+        CAPTURE(sent.index());
+        const auto got = peer::decode(peer::encode(sent));
+        REQUIRE(got.has_value());
+        CHECK(got->index() == sent.index());
+        CHECK(peer::encode(*got) == peer::encode(sent));
+    }
 }
 
 TEST_CASE("what passes the configuration on survives the wire") {
@@ -92,9 +117,13 @@
         {"an empty frame", ""},
         {"random bytes", "\xff\xff\xff\xff"},
         {"a cut message",
-         peer::encode(peer::heartbeat{sample(), {}, {}}).substr(0, 9)},
+         peer::encode(peer::probe{sample().instance, {"127.0.0.1", 1}, 1, {}})
+             .substr(0, 9)},
         {"an impossible address",
-         peer::encode(peer::heartbeat{nowhere, {}, {}})},
+         peer::encode(
+             peer::news{sample().instance, {{}, 0, {{nowhere, {}}}, {}}})},
+        {"a sender without a name",
+         peer::encode(peer::news{base::instance_id(), {}})},
         {"a push from an impossible address",
          peer::encode(feed::push{{"nowhere", 1}, {}, {}, {}})},
         {"too many bytes", std::string(peer::most_message_bytes + 1, 'x')},
--- a/pollenreel/peer/message.hpp
+++ b/pollenreel/peer/message.hpp
@@ -7,6 +7,7 @@
 #include "pollenreel/feed/messages.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,12 +27,79 @@
     friend bool operator==(const member&, const member&) = default;
 };
 
-struct heartbeat {
-    member sender;
-    base::config_version applied;
-    std::vector<member> known;
+enum class member_state { live, suspect, dead };
+
+struct member_update {
+    peer::member member;
+    member_state state = member_state::live;
+
+    friend bool operator==(const member_update&,
+                           const member_update&) = default;
+};
+
+// Which members are known to have applied `version` or a greater one: one bit
+// a member, in the order of their names. Means something only to a receiver
+// whose list of names and incarnations has the same digest.
+struct acknowledgements {
+    base::config_version version;
+    std::uint64_t names_digest = 0;
+    std::string bits;
+
+    friend bool operator==(const acknowledgements&,
+                           const acknowledgements&) = default;
+};
+
+// Rides on every membership message.
+struct gossip {
+    base::config_version applied; // by the sender
+    std::uint64_t view_digest = 0;
+    std::vector<member_update> updates;
+    std::optional<acknowledgements> acknowledged;
+
+    friend bool operator==(const gossip&, const gossip&) = default;
+};
+
+// "Are you there?"
+struct probe {
+    base::instance_id sender;
+    base::endpoint reply_to;
+    std::uint64_t sequence = 0;
+    peer::gossip gossip;
+};
+
+// Answers the probe, or the probe request, of the same sequence.
+struct probe_answer {
+    base::instance_id sender;
+    std::uint64_t sequence = 0;
+    peer::gossip gossip;
+};
+
+// Asks the receiver to probe `target` on the sender's behalf.
+struct probe_request {
+    base::instance_id sender;
+    base::endpoint reply_to;
+    std::uint64_t sequence = 0;
+    base::endpoint target;
+};
+
+// News of members, sent without waiting for the next probe.
+struct news {
+    base::instance_id sender;
+    peer::gossip gossip;
+};
+
+// The sender's digests of its members, one a bucket; the receiver answers
+// with news of the buckets that differ, and unless this is an answer itself,
+// asks in return.
+struct sync_request {
+    base::instance_id sender;
+    base::endpoint reply_to;
+    std::vector<std::uint64_t> buckets;
+    bool answer = false;
 };
 
-using message = std::variant<heartbeat, feed::push, feed::pull, feed::digest>;
+using message =
+    std::variant<probe, probe_answer, probe_request, news, sync_request,
+                 feed::push, feed::pull, feed::digest>;
 
 } // namespace pollenreel::peer
