--- a/pollenreel/control/core.cpp
+++ b/pollenreel/control/core.cpp
@@ -51,6 +51,19 @@
     return regions;
 }
 
+// Look-ups do not name drained instances; were all of them drained, an answer
+// without any would help no caller.
+void leave_out_drained(const declarations::steering& commanded,
+                       std::vector<routing::instance>& usable) {
+    auto kept = usable;
+    std::erase_if(kept, [&](const auto& i) {
+        return commanded.drained_instances.contains(i.id);
+    });
+    if (!kept.empty()) {
+        usable = std::move(kept);
+    }
+}
+
 } // namespace
 
 core::core(identity who, base::time_point now)
@@ -69,7 +82,7 @@
     tick_membership(now, out);
     tell_feed_members(now, out);
     run(m_feed.on_tick(now), now, out);
-    republish(out);
+    republish(now, out);
 }
 
 void core::on(const store_replied& e, base::time_point now, effects& out) {
@@ -93,7 +106,7 @@
             m_feed.on_applied(m.sender, m.gossip.applied);
         }
         tell_feed_members(now, out);
-        republish(out);
+        republish(now, out);
     } else {
         run(m_feed.on_message(m, now), now, out);
     }
@@ -164,7 +177,7 @@
     m_membership.set_leaving(true, now);
     tick_membership(now, out);
     tell_feed_members(now, out);
-    republish(out);
+    republish(now, out);
 }
 
 void core::take_step(committer::step s, base::time_point now, effects& out) {
@@ -216,7 +229,7 @@
     m_membership.set_applied(m_configuration.version);
     obey_drains(now, starting, out);
     m_published_generation = 0;
-    republish(out);
+    republish(now, out);
     m_told_generation = 0; // regions may have changed
     tell_feed_members(now, out);
 }
@@ -239,13 +252,19 @@
 
 // A drained instance stops as if told to end. One that finds itself drained
 // when it starts stays up without being named, so that a supervisor does not
-// start it again and again, and an undrain brings it back.
+// start it again and again, and an undrain brings it back. While all members
+// are drained, none of them obeys: callers would be left without any.
 void core::obey_drains(base::time_point now, bool starting, effects& out) {
     if (m_stopping) {
         return;
     }
-    const bool drained = m_configuration.commanded.drained_instances.contains(
-        m_who.self.instance);
+    const auto& drains = m_configuration.commanded.drained_instances;
+    const auto usable = m_membership.usable_members();
+    const bool others_remain =
+        std::any_of(usable.begin(), usable.end(), [&](const auto& m) {
+            return !drains.contains(m.instance);
+        });
+    const bool drained = drains.contains(m_who.self.instance) && others_remain;
     m_membership.set_leaving(drained, now);
     if (drained && !starting) {
         m_stopping = true;
@@ -253,18 +272,20 @@
     }
 }
 
-void core::republish(effects& out) {
+void core::republish(base::time_point now, effects& out) {
     const auto generation = m_membership.members().usable_generation();
     if (generation == m_published_generation) {
         return;
     }
-    m_published_generation = generation;
+    if (m_published_generation != 0) {
+        obey_drains(now, true, out); // others may have joined
+    }
+    m_published_generation = m_membership.members().usable_generation();
     std::vector<routing::instance> named;
     for (const auto& m : m_membership.usable_members()) {
-        if (!m_configuration.commanded.drained_instances.contains(m.instance)) {
-            named.push_back(as_instance(m));
-        }
+        named.push_back(as_instance(m));
     }
+    leave_out_drained(m_configuration.commanded, named);
     m_snapshot = routing::compile(m_configuration, as_instance(m_who.self),
                                   std::move(named));
     out.emplace_back(publish{m_snapshot});
--- a/pollenreel/control/core.hpp
+++ b/pollenreel/control/core.hpp
@@ -110,6 +110,16 @@
     [[nodiscard]] base::config_version applied() const {
         return m_configuration.version;
     }
+    [[nodiscard]] const declarations::configuration& configuration() const {
+        return m_configuration;
+    }
+    [[nodiscard]] const base::instance_id& self() const {
+        return m_who.self.instance;
+    }
+    // Empty as long as no configuration declares this failure domain.
+    [[nodiscard]] const base::region_id& own_region() const {
+        return m_snapshot->region;
+    }
 
 private:
     void on(const tick& e, base::time_point now, effects& out);
@@ -134,7 +144,7 @@
     void tell_feed_members(base::time_point now, effects& out);
     void tick_membership(base::time_point now, effects& out);
     void obey_drains(base::time_point now, bool starting, effects& out);
-    void republish(effects& out);
+    void republish(base::time_point now, effects& out);
 
     identity m_who;
     declarations::configuration m_configuration;
--- a/pollenreel/control/core_test.cpp
+++ b/pollenreel/control/core_test.cpp
@@ -119,13 +119,52 @@
         c.commanded.drained_instances.insert(base::instance_id("a"));
         return push(c);
     };
+    const control::event other = control::peer_received{peer::news{
+        base::instance_id("b"),
+        {{}, 0, {{named("b", 7001), peer::member_state::live}}, {}}}};
     control::core running({named("a", 7000), {}, "k"}, start);
+    (void)running.handle(other, start);
     (void)running.handle(push(1), start);
     CHECK(count<control::stop_instance>(running.handle(drain_of_a(2), start)) ==
           1);
     CHECK(count<control::stop_instance>(running.handle(drain_of_a(3), start)) ==
           0);
     control::core started({named("a", 7000), {}, "k"}, start);
+    (void)started.handle(other, start);
     CHECK(count<control::stop_instance>(started.handle(drain_of_a(2), start)) ==
           0);
 }
+
+TEST_CASE("a drained instance is no longer named, unless none would be left") {
+    struct row {
+        const char* name;
+        std::vector<const char*> drained;
+        std::size_t named;
+    };
+    const row rows[] = {
+        {"one of two", {"a"}, 1},
+        {"the other", {"b"}, 1},
+        {"both", {"a", "b"}, 2},
+        {"an unknown one", {"x"}, 2},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        control::core c({named("a", 7000), {}, "k"}, start);
+        (void)c.handle(
+            control::peer_received{peer::news{
+                base::instance_id("b"),
+                {{}, 0, {{named("b", 7001), peer::member_state::live}}, {}}}},
+            start);
+        auto drained = version(1);
+        for (const auto* id : r.drained) {
+            drained.commanded.drained_instances.emplace(id);
+        }
+        const auto out = c.handle(push(drained), start);
+        for (const auto& e : out) {
+            if (const auto* p = std::get_if<control::publish>(&e)) {
+                CHECK(p->snapshot->instances.size() == r.named);
+            }
+        }
+        CHECK(count<control::publish>(out) == 1);
+    }
+}
