--- a/cli/render.cpp
+++ b/cli/render.cpp
@@ -92,12 +92,12 @@
     std::string all =
         fmt::format("version {} by {}: {}\n{}\n\n", text(a, "version"),
                     text(a, "author"), text(a, "summary"), render_in_force(a));
-    text_table t({"INSTANCE", "DOMAIN", "STATE", "APPLIED", "SILENT"});
+    text_table t({"INSTANCE", "DOMAIN", "STATE", "APPLIED", "SINCE"});
     t.add(
         {text(a, "instance") + " (asked)", "", "live", text(a, "version"), ""});
     for (const auto& m : a.at("members").as_array()) {
         t.add({text(m, "instance"), text(m, "failure_domain"), text(m, "state"),
-               text(m, "applied"), text(m, "silent_ms") + " ms"});
+               text(m, "applied"), text(m, "since_ms") + " ms"});
     }
     const auto commanded = render_commanded(a.at("commanded"));
     return all + t.text() + (commanded.empty() ? "" : "\n" + commanded);
@@ -230,9 +230,9 @@
     auto all = status.at("in_force").as_bool()
                    ? std::string("in force on every live instance")
                    : "not in force yet on " + members_in(status, "live", false);
-    const auto silent = members_in(status, "silent", true);
-    if (!silent.empty()) {
-        all += "; not heard of and not named to callers: " + silent;
+    const auto dead = members_in(status, "dead", true);
+    if (!dead.empty()) {
+        all += "; not heard of and not named to callers: " + dead;
     }
     return all;
 }
--- a/cli/render_test.cpp
+++ b/cli/render_test.cpp
@@ -86,7 +86,7 @@
          R"({"instance":"c","state":"live","current":true}]})",
          "not in force yet on b"},
         {R"({"in_force":true,"members":[)"
-         R"({"instance":"b","state":"silent","current":true},)"
+         R"({"instance":"b","state":"dead","current":true},)"
          R"({"instance":"c","state":"leaving","current":false}]})",
          "in force on every live instance; not heard of and not named to "
          "callers: b"},
