Name what was meant, and sum changes up in the language's own words

Cause: history said 'drain catalogue-03' and 'apply declarations'; a misspelt name got no help. Change: summaries are sentences of the grammar, declarations tell how many places changed, an unknown name gets the nearest declared one. Checked: control_test, node_test, declarations_test.

--- a/pollenreel/control/change.cpp
+++ b/pollenreel/control/change.cpp
@@ -1,6 +1,8 @@
 #include "pollenreel/control/change.hpp"
 
 #include "pollenreel/control/safety.hpp"
+#include "pollenreel/declarations/difference.hpp"
+#include "pollenreel/language/nearest.hpp"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -33,9 +35,42 @@
 using declarations::configuration;
 using declarations::document;
 
-base::failure unknown(std::string_view kind, const std::string& name) {
+// Names of what `kind` calls, as far as they are declared.
+std::vector<std::string_view> names_of(const document& d,
+                                       std::string_view kind) {
+    std::vector<std::string_view> names;
+    for (const auto& r : d.regions) {
+        if (kind == "region") {
+            names.push_back(r.id.str());
+        }
+        for (const auto& domain : r.failure_domains) {
+            if (kind == "domain") {
+                names.push_back(domain.str());
+            }
+        }
+    }
+    for (const auto& s : d.services) {
+        if (kind == "service") {
+            names.push_back(s.id.str());
+        }
+        for (const auto& t : s.targets) {
+            if (kind == "target") {
+                names.push_back(t.id.str());
+            }
+        }
+    }
+    return names;
+}
+
+base::failure unknown(const document& d, std::string_view kind,
+                      const std::string& name) {
+    const auto names = names_of(d, kind);
+    const auto meant = language::nearest(name, names);
     return {make_error_code(change_error::unknown_name),
-            fmt::format("no {} is called '{}'", kind, name)};
+            fmt::format("no {} is called '{}'{}", kind, name,
+                        meant.empty()
+                            ? ""
+                            : fmt::format("; did you mean '{}'?", meant))};
 }
 
 base::failure no_effect(std::string why) {
@@ -87,24 +122,58 @@
     return s.drained_instances;
 }
 
+std::string_view noun(const base::target_id&) {
+    return "target";
+}
+std::string_view noun(const base::failure_domain_id&) {
+    return "domain";
+}
+std::string_view noun(const base::instance_id&) {
+    return "instance";
+}
+
+// "3 added, 1 changed".
+std::string count_differences(const document& before, const document& after) {
+    using declarations::change_kind;
+    std::size_t counts[3] = {};
+    for (const auto& d : declarations::difference(before, after)) {
+        ++counts[static_cast<std::size_t>(d.kind)];
+    }
+    std::vector<std::string> parts;
+    for (const auto& [kind, word] :
+         {std::pair(change_kind::added, "added"),
+          std::pair(change_kind::removed, "removed"),
+          std::pair(change_kind::changed, "changed")}) {
+        const auto n = counts[static_cast<std::size_t>(kind)];
+        if (n > 0) {
+            parts.push_back(fmt::format("{} {}", n, word));
+        }
+    }
+    return parts.empty() ? "order only"
+                         : fmt::format("{}", fmt::join(parts, ", "));
+}
+
 base::result<std::string> mutate(configuration& c, const apply_document& m) {
     if (c.declared == m.document) {
         return no_effect("this is declared already");
     }
+    auto summary = fmt::format("apply declarations: {}",
+                               count_differences(c.declared, m.document));
     c.declared = m.document;
-    return std::string("apply declarations");
+    return summary;
 }
 
 base::result<std::string> mutate(configuration& c, const language::drain& m) {
     return std::visit(
         [&](const auto& id) -> base::result<std::string> {
             if (!declares(c.declared, id)) {
-                return unknown("such thing", id.str());
+                return unknown(c.declared, noun(id), id.str());
             }
             if (!drained(c.commanded, id).insert(id).second) {
-                return no_effect(id.str() + " is drained already");
+                return no_effect(fmt::format("{} {} is drained already",
+                                             noun(id), id.str()));
             }
-            return "drain " + id.str();
+            return fmt::format("drain {} {}", noun(id), id.str());
         },
         m.what);
 }
@@ -113,9 +182,10 @@
     return std::visit(
         [&](const auto& id) -> base::result<std::string> {
             if (drained(c.commanded, id).erase(id) == 0) {
-                return no_effect(id.str() + " is not drained");
+                return no_effect(
+                    fmt::format("{} {} is not drained", noun(id), id.str()));
             }
-            return "undrain " + id.str();
+            return fmt::format("undrain {} {}", noun(id), id.str());
         },
         m.what);
 }
@@ -123,11 +193,11 @@
 base::result<std::string> mutate(configuration& c,
                                  const language::start_shift& m) {
     if (find_service(c.declared, m.service) == nullptr) {
-        return unknown("service", m.service.str());
+        return unknown(c.declared, "service", m.service.str());
     }
     for (const auto& region : {m.from, m.to}) {
         if (!declares(c.declared, region)) {
-            return unknown("region", region.str());
+            return unknown(c.declared, "region", region.str());
         }
     }
     c.commanded.shifts.push_back(
@@ -149,7 +219,7 @@
             return fmt::format("{} shift {}", verb, id.str());
         }
     }
-    return unknown("shift", id.str());
+    return unknown(c.declared, "shift", id.str());
 }
 
 base::result<std::string> mutate(configuration& c,
@@ -173,7 +243,7 @@
     const auto gone = std::erase_if(
         c.commanded.shifts, [&](const auto& s) { return s.id == m.shift; });
     if (gone == 0) {
-        return unknown("shift", m.shift.str());
+        return unknown(c.declared, "shift", m.shift.str());
     }
     return "abort shift " + m.shift.str();
 }
@@ -186,10 +256,10 @@
 base::result<std::string> mutate(configuration& c,
                                  const language::set_limit& m) {
     if (find_service(c.declared, m.service) == nullptr) {
-        return unknown("service", m.service.str());
+        return unknown(c.declared, "service", m.service.str());
     }
     if (!declares(c.declared, m.region)) {
-        return unknown("region", m.region.str());
+        return unknown(c.declared, "region", m.region.str());
     }
     std::erase_if(c.commanded.limits, [&](const auto& l) {
         return same_scope(l, m.service, m.region);
