Show what a shift has moved and what holds it

Change: shifts takes progress where an instance knows it; until the shifts' coordinator runs in the control core, shifts are shown as commanded. Checked: control_test, table of verdicts, shifts and history.

--- a/cli/render.cpp
+++ b/cli/render.cpp
@@ -39,8 +39,10 @@
                             text(s, "to"), text(s, "percent"),
                             text(s, "cap_megabits_per_second"),
                             text(s, "over_s"), text(s, "state"));
-    if (const auto* progress = s.as_object().if_contains("progress")) {
-        line += "  " + text(*progress);
+    if (s.as_object().contains("moved_percent")) {
+        line += fmt::format("  {}% moved", text(s, "moved_percent"));
+        const auto held_by = text(s, "held_by");
+        line += held_by == "none" ? "" : ", held by " + held_by;
     }
     return line + "\n";
 }
--- a/pollenreel/control/answers.cpp
+++ b/pollenreel/control/answers.cpp
@@ -8,10 +8,9 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/range/adaptor/reversed.hpp>
 #include <fmt/chrono.h>
 
-#include <ranges>
-
 namespace pollenreel::control {
 
 namespace {
@@ -62,6 +61,11 @@
     return {call, answer_status::ok, json::serialize(body)};
 }
 
+double percent(share::parts p) {
+    constexpr double parts_of_one_percent = 10'000;
+    return p.value / parts_of_one_percent;
+}
+
 json::value steering_part(const declarations::configuration& c,
                           std::string_view key) {
     return declarations::to_json(c.commanded).as_object().at(key);
@@ -132,15 +136,26 @@
 }
 
 answer_operator shifts_answer(call_id call,
-                              const declarations::configuration& current) {
+                              const declarations::configuration& current,
+                              const std::vector<shift::progress>& progress) {
+    auto shifts = steering_part(current, "shifts");
+    for (auto& shown : shifts.as_array()) {
+        for (const auto& p : progress) {
+            if (shown.at("id") == json::string(p.shift.str())) {
+                auto& o = shown.as_object();
+                o["moved_percent"] = percent(p.moved);
+                o["held_by"] = shift::to_string(p.why);
+            }
+        }
+    }
     return ok(call, {{"version", current.version.value()},
-                     {"shifts", steering_part(current, "shifts")}});
+                     {"shifts", std::move(shifts)}});
 }
 
 answer_operator history_answer(call_id call,
                                const declarations::configuration& current) {
     json::array changes;
-    for (const auto& r : std::views::reverse(current.recent)) {
+    for (const auto& r : boost::adaptors::reverse(current.recent)) {
         changes.emplace_back(json::object{{"version", r.version.value()},
                                           {"at", utc_text(r.at)},
                                           {"author", r.author},
--- a/pollenreel/control/answers.hpp
+++ b/pollenreel/control/answers.hpp
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "pollenreel/control/core.hpp"
+#include "pollenreel/shift/plan.hpp"
 
 #include <string>
+#include <vector>
 
 namespace pollenreel::control {
 
@@ -15,8 +17,11 @@
             const std::map<base::instance_id, known_member>& members,
             base::time_point now, const feed::feed& feed);
 
+// `progress` of the shifts that this instance knows about; others are shown
+// as they were commanded.
 [[nodiscard]] answer_operator
-shifts_answer(call_id call, const declarations::configuration& current);
+shifts_answer(call_id call, const declarations::configuration& current,
+              const std::vector<shift::progress>& progress);
 
 [[nodiscard]] answer_operator
 history_answer(call_id call, const declarations::configuration& current);
