--- a/cli/burn_report.cpp
+++ b/cli/burn_report.cpp
@@ -46,8 +46,9 @@
         const instance_client client({endpoint}, o.who);
         const auto r = client.call("GET", "/v1/service-levels", "");
         if (r.code != exit_code::done) {
-            fmt::print(stderr, "{}: {}\n", endpoint.str(),
-                       r.problem.empty() ? "refused" : r.problem);
+            fmt::print(stderr, "{}\n",
+                       r.problem.empty() ? endpoint.str() + ": refused"
+                                         : r.problem);
             continue;
         }
         auto read = report::read_service_levels(r.body);
@@ -179,6 +180,9 @@
     auto text = fmt::format("burn rates of {} instances, counting for "
                             "{:%H:%M:%S} or longer\n\n{}",
                             levels.instances.size(), levels.covered, t.text());
+    if (levels.levels.empty()) {
+        text += "no requests were counted yet\n";
+    }
     if (!missing.empty()) {
         text += fmt::format("\nnot in these figures: {}; name their addresses "
                             "with --instance\n",
--- a/cli/render_test.cpp
+++ b/cli/render_test.cpp
@@ -1,3 +1,4 @@
+#include "cli/burn_report.hpp"
 #include "cli/render.hpp"
 
 #include <boost/json/parse.hpp>
@@ -96,3 +97,23 @@
         CHECK(cli::render_in_force(boost::json::parse(r.status)) == r.text);
     }
 }
+
+TEST_CASE("the burn report says what it stands on") {
+    report::service_levels levels;
+    levels.instances = {base::instance_id("i-1")};
+    levels.covered = std::chrono::seconds(61);
+    const auto empty = cli::render_burn(levels, {base::instance_id("i-2")});
+    CHECK(
+        empty.starts_with("burn rates of 1 instances, counting for 00:01:01"));
+    CHECK(empty.find("no requests were counted yet") != std::string::npos);
+    CHECK(empty.find("not in these figures: i-2;") != std::string::npos);
+
+    auto& l = levels.levels[{base::service_id("web"), base::kind_id("read"),
+                             base::region_id("a")}];
+    l.objective = {990'000, std::chrono::milliseconds(500)};
+    l.in_window.fill({800, 1000});
+    const auto burning = cli::render_burn(levels, {});
+    CHECK(burning.find("(all)   99%   500 ms  20.00") != std::string::npos);
+    CHECK(burning.find("PAGE") != std::string::npos);
+    CHECK(burning.find("not in these figures") == std::string::npos);
+}
