--- a/pollenreel/control/core.cpp
+++ b/pollenreel/control/core.cpp
@@ -18,20 +18,14 @@
     return feed::checksum(self.instance.str()) ^ self.incarnation;
 }
 
-base::region_id region_of(const declarations::document& d,
-                          const base::failure_domain_id& domain) {
-    for (const auto& r : d.regions) {
-        if (std::find(r.failure_domains.begin(), r.failure_domains.end(),
-                      domain) != r.failure_domains.end()) {
-            return r.id;
-        }
-    }
-    return base::region_id(domain.str()); // nothing is declared yet
-}
-
-feed::member as_feed_member(const declarations::document& d,
-                            const peer::member& m) {
-    return {m.instance, region_of(d, m.failure_domain), m.peer_address};
+// By the failure domain itself as long as its region is not declared.
+feed::member as_feed_member(const routing::snapshot& s, const peer::member& m) {
+    const auto region = s.region_of.find(m.failure_domain);
+    return {m.instance,
+            region == s.region_of.end()
+                ? base::region_id(m.failure_domain.str())
+                : region->second,
+            m.peer_address};
 }
 
 bool due(std::optional<base::time_point>& last, base::duration period,
@@ -65,7 +59,7 @@
 core::core(identity who)
     : m_who(std::move(who)), m_committer(m_who.configuration_key),
       m_members(m_who.self.instance),
-      m_feed(as_feed_member({}, m_who.self), m_who.seeds,
+      m_feed(as_feed_member(*m_snapshot, m_who.self), m_who.seeds,
              m_who.configuration_key, seed_of(m_who.self)) {}
 
 effects core::handle(const event& e, base::time_point now) {
@@ -101,7 +95,6 @@
 void core::on(const peer::heartbeat& m, base::time_point now, effects& out) {
     m_members.on_heartbeat(m, now);
     m_feed.on_applied(m.sender.instance, m.applied);
-    tell_feed_members(now, out);
     republish(now, out);
 }
 
@@ -208,10 +201,10 @@
 void core::tell_feed_members(base::time_point now, effects& out) {
     std::vector<feed::member> live;
     if (!m_who.self.leaving) {
-        live.push_back(as_feed_member(m_configuration.declared, m_who.self));
+        live.push_back(as_feed_member(*m_snapshot, m_who.self));
     }
     for (const auto& m : m_members.usable(now)) {
-        live.push_back(as_feed_member(m_configuration.declared, m.member));
+        live.push_back(as_feed_member(*m_snapshot, m.member));
     }
     if (live != m_live) {
         m_live = live;
--- a/pollenreel/control/core_test.cpp
+++ b/pollenreel/control/core_test.cpp
@@ -28,11 +28,13 @@
     return c;
 }
 
+control::event push(const declarations::configuration& c) {
+    return control::peer_received{feed::push{
+        {"127.0.0.1", 7001}, c.version, {}, declarations::encode(c)}};
+}
+
 control::event push(std::uint64_t v) {
-    return control::peer_received{feed::push{{"127.0.0.1", 7001},
-                                             base::config_version(v),
-                                             {},
-                                             declarations::encode(version(v))}};
+    return push(version(v));
 }
 
 template <class Effect>
@@ -114,10 +116,7 @@
         for (const auto* id : r.drained) {
             drained.commanded.drained_instances.emplace(id);
         }
-        const auto out =
-            c.handle(control::peer_received{peer::configuration_push{
-                         declarations::encode(drained)}},
-                     start);
+        const auto out = c.handle(push(drained), start);
         for (const auto& e : out) {
             if (const auto* p = std::get_if<control::publish>(&e)) {
                 CHECK(p->snapshot->instances.size() == r.named);
@@ -126,3 +125,54 @@
         CHECK(count<control::publish>(out) == 1);
     }
 }
+
+TEST_CASE("a core follows the store by one watch and polls no more") {
+    control::core c({named("a", 7000), {}, "k"});
+    const auto stored = [](std::uint64_t v, std::int64_t revision) {
+        return store::entry{"k", declarations::encode(version(v)), {revision}};
+    };
+    auto out = c.handle(control::tick{}, start);
+    CHECK(count<control::call_store>(out) == 1);
+    out = c.handle(control::store_replied{control::store_user::feed,
+                                          store::found{stored(5, 9), {9}}},
+                   start);
+    CHECK(c.applied() == base::config_version(5));
+    REQUIRE(count<control::open_watch>(out) == 1);
+    out = c.handle(control::watch_reported{store::watch_changed{
+                       {{"k", {10}, stored(6, 10)}}}},
+                   start);
+    CHECK(c.applied() == base::config_version(6));
+    CHECK(count<control::publish>(out) == 1);
+    for (auto at = start; at < start + 1900ms; at += control::tick_period) {
+        CHECK(count<control::call_store>(c.handle(control::tick{}, at)) == 0);
+    }
+}
+
+TEST_CASE("status tells in force only when each live member applies it") {
+    control::core c({named("a", 7000), {}, "k"});
+    (void)c.handle(push(2), start);
+    const auto in_force = [&](base::time_point at) {
+        const auto out = c.handle(
+            control::query_received{control::call_id(1), language::status{}},
+            at);
+        REQUIRE(count<control::answer_operator>(out) == 1);
+        return std::get<control::answer_operator>(out.back())
+                   .json.find(R"("in_force":true)") != std::string::npos;
+    };
+    const auto hear = [&](std::uint64_t applied, base::time_point at) {
+        (void)c.handle(
+            control::peer_received{peer::heartbeat{
+                named("b", 7001), base::config_version(applied), {}}},
+            at);
+        (void)c.handle(control::tick{}, at);
+    };
+    hear(1, start);
+    CHECK(!in_force(start));
+    hear(2, start + 1s);
+    CHECK(in_force(start + 1s));
+    (void)c.handle(push(3), start + 1s);
+    CHECK(!in_force(start + 1s));
+    (void)c.handle(control::tick{}, start + 5s); // b is silent
+    (void)c.handle(control::tick{}, start + 6s);
+    CHECK(in_force(start + 6s));
+}
--- a/pollenreel/feed/acknowledgements.cpp
+++ b/pollenreel/feed/acknowledgements.cpp
@@ -15,12 +15,17 @@
            (made.stamp == known.stamp && made.version < known.version);
 }
 
+void add_names(coverage& c, const std::vector<base::instance_id>& names) {
+    const auto some = std::min(names.size(), most_named_missing);
+    c.missing.insert(c.missing.end(), names.begin(),
+                     names.begin() + static_cast<std::ptrdiff_t>(some));
+}
+
 } // namespace
 
 void acknowledgements::on_applied(const base::instance_id& who,
                                   base::config_version v) {
-    auto& known = m_applied[who];
-    known = std::max(known, v);
+    m_applied[who] = v;
 }
 
 void acknowledgements::on_floor(const region_floor& f, base::time_point now) {
@@ -107,30 +112,41 @@
 coverage acknowledgements::of(base::config_version v,
                               const std::vector<member>& live) const {
     coverage c;
-    std::map<base::region_id, std::vector<base::instance_id>> by_region;
+    std::map<base::region_id, members_of_region> regions;
     for (const auto& m : live) {
+        auto& region = regions[m.region];
+        ++region.count;
         const auto known = m_applied.find(m.instance);
-        auto& missing = by_region[m.region];
         if (known == m_applied.end() || known->second < v) {
-            missing.push_back(m.instance);
+            region.not_heard.push_back(m.instance);
         }
     }
-    for (const auto& [region, not_heard] : by_region) {
-        const auto f = m_floors.find(region);
-        if (not_heard.empty() ||
-            (f != m_floors.end() && f->second.floor.version >= v)) {
-            continue;
-        }
-        if (f == m_floors.end()) {
-            c.unheard.push_back(region);
-            continue;
-        }
-        const auto& names = f->second.floor.missing;
-        c.behind += std::max<std::uint32_t>(f->second.floor.behind, 1);
-        c.missing.insert(c.missing.end(), names.begin(), names.end());
+    for (const auto& [region, members] : regions) {
+        add_region(c, region, members, v);
     }
     c.in_force = c.behind == 0 && c.unheard.empty();
     return c;
 }
 
+void acknowledgements::add_region(coverage& c, const base::region_id& region,
+                                  const members_of_region& members,
+                                  base::config_version v) const {
+    if (members.not_heard.empty()) {
+        return;
+    }
+    const auto known = m_floors.find(region);
+    if (known == m_floors.end()) {
+        c.unheard.push_back(region);
+        return;
+    }
+    const auto& floor = known->second.floor;
+    if (floor.members < members.count) { // made when fewer were live
+        c.behind += static_cast<std::uint32_t>(members.not_heard.size());
+        add_names(c, members.not_heard);
+    } else if (floor.version < v) {
+        c.behind += std::max<std::uint32_t>(floor.behind, 1);
+        add_names(c, floor.missing);
+    }
+}
+
 } // namespace pollenreel::feed
--- a/pollenreel/feed/acknowledgements.hpp
+++ b/pollenreel/feed/acknowledgements.hpp
@@ -35,7 +35,8 @@
 
 class acknowledgements {
 public:
-    // A member said itself what it applies.
+    // A member said itself what it applies; after a restart that may be less
+    // than before.
     void on_applied(const base::instance_id& who, base::config_version v);
     void on_floor(const region_floor& f, base::time_point now);
 
@@ -62,6 +63,16 @@
         base::time_point changed;
     };
 
+    struct members_of_region {
+        std::size_t count = 0;
+        // Those that did not tell this instance that they apply the version.
+        std::vector<base::instance_id> not_heard;
+    };
+
+    void add_region(coverage& c, const base::region_id& region,
+                    const members_of_region& members,
+                    base::config_version v) const;
+
     std::map<base::instance_id, base::config_version> m_applied;
     std::map<base::region_id, known_floor> m_floors;
     std::size_t m_turn = 0;
