--- a/pollenreel/feed/acknowledgements.cpp
+++ b/pollenreel/feed/acknowledgements.cpp
@@ -94,6 +94,7 @@
         news.push_back(old[m_turn++ % old.size()]);
     }
     std::vector<region_floor> told;
+    told.reserve(news.size());
     for (const auto* f : news) {
         told.push_back(f->floor);
     }
--- a/testing/fleet.cpp
+++ b/testing/fleet.cpp
@@ -112,6 +112,9 @@
 
 void fleet::start_instance(std::size_t i) {
     const auto name = std::to_string(i);
+    // A log is opened without truncating it; the tail of an earlier, longer
+    // one would be read as the new daemon's.
+    std::filesystem::remove(m_folder / (name + ".log"));
     m_daemons[i] = std::make_unique<process>(
         POLLENREELD,
         std::vector<std::string>{"--settings",
