--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -5,6 +5,7 @@
 #include "pollenreel/request/classify.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pollenreel::request {
 
@@ -13,6 +14,10 @@
 // Attempts of one request, the first included. More would let a request walk
 // through a failing fleet.
 constexpr std::size_t most_attempts = 3;
+// A request that waited is not started when it has less time left than this
+// quantile of recent latencies takes. Higher wastes fewer slots on work that
+// comes too late and refuses more that would just have made it.
+constexpr double late_start = 0.9;
 // How often waiting long-running work looks for room that others left idle.
 constexpr base::duration recheck_period = std::chrono::seconds(1);
 
@@ -40,8 +45,9 @@
     return m_pending.size();
 }
 
-void core::on(const snapshot_changed& e, base::time_point, effects&) {
-    m_snapshot = e.snapshot;
+void core::on(const snapshot_changed& e, base::time_point now, effects&) {
+    const auto before = std::exchange(m_snapshot, e.snapshot);
+    begin_slow_starts(*before, now);
     for (auto& [key, at] : m_pools) {
         const auto service = m_snapshot->services.find(key.first);
         at.plan = service == m_snapshot->services.end()
@@ -52,6 +58,26 @@
     }
 }
 
+void core::begin_slow_starts(const routing::snapshot& before,
+                             base::time_point now) {
+    for (const auto& [id, service] : m_snapshot->services) {
+        const auto old = before.services.find(id);
+        if (old == before.services.end()) {
+            continue; // all are new to this thread, none to the fleet
+        }
+        for (const auto& t : service.targets) {
+            const bool took_work =
+                std::any_of(old->second.targets.begin(),
+                            old->second.targets.end(), [&](const auto& o) {
+                                return o.id == t.id && o.accepts_new_work;
+                            });
+            if (t.accepts_new_work && !took_work) {
+                m_book.begin_slow_start(t.id, service.slow_start, now);
+            }
+        }
+    }
+}
+
 void core::on(const arrival& e, base::time_point now, effects& out) {
     ++m_counters.requests;
     auto c = classify(e, *m_snapshot, now);
@@ -163,7 +189,14 @@
         return false;
     }
     line.remove(*first);
-    run(m_pending.at(*first), now, out);
+    auto& p = m_pending.at(*first);
+    const auto usual = state_of(p.request).latency.quantile(late_start);
+    if (now + usual.value_or(base::duration{}) > p.request.deadline) {
+        ++m_counters.shed;
+        refuse(*first, {outcome::not_run, reason::overloaded}, now, out);
+        return true;
+    }
+    run(p, now, out);
     return true;
 }
 
@@ -190,9 +223,11 @@
         return refusal{outcome::not_run, reason::deadline_expired};
     }
     const auto wanted = preferred(p, pool_of(p));
-    auto chosen =
-        choose_target(p.request, p.region, *m_snapshot, m_options.choose,
-                      m_book, {p.tried, wanted}, now, m_random);
+    const auto& plan = pool_of(p).plan;
+    auto chosen = choose_target(
+        p.request, p.region, *m_snapshot, m_options.choose, m_book,
+        {p.tried, wanted, plan.subset, plan.connections_per_target}, now,
+        m_random);
     if (const auto* r = std::get_if<refusal>(&chosen)) {
         return *r;
     }
@@ -208,7 +243,9 @@
     ++m_counters.attempts;
     m_counters.retries += why == cause::retry ? 1 : 0;
     m_counters.hedges += why == cause::hedge ? 1 : 0;
-    out.emplace_back(open_attempt{id, p.request.id, to, p.request.deadline});
+    out.emplace_back(open_attempt{id, p.request.id, to, p.request.deadline,
+                                  p.request.kind.idempotent,
+                                  plan.connections_per_target});
     return std::nullopt;
 }
 
