--- a/pollenreel/control/core_test.cpp
+++ b/pollenreel/control/core_test.cpp
@@ -168,3 +168,56 @@
         CHECK(count<control::publish>(out) == 1);
     }
 }
+
+TEST_CASE("a core follows the store by one watch and polls no more") {
+    control::core c({named("a", 7000), {}, "k"}, start);
+    const auto stored = [](std::uint64_t v, std::int64_t revision) {
+        return store::entry{"k", declarations::encode(version(v)), {revision}};
+    };
+    auto out = c.handle(control::tick{}, start);
+    CHECK(count<control::call_store>(out) == 1);
+    out = c.handle(control::store_replied{control::store_user::feed,
+                                          store::found{stored(5, 9), {9}}},
+                   start);
+    CHECK(c.applied() == base::config_version(5));
+    REQUIRE(count<control::open_watch>(out) == 1);
+    out = c.handle(control::watch_reported{store::watch_changed{
+                       {{"k", {10}, stored(6, 10)}}}},
+                   start);
+    CHECK(c.applied() == base::config_version(6));
+    CHECK(count<control::publish>(out) == 1);
+    for (auto at = start; at < start + 1900ms; at += control::tick_period) {
+        CHECK(count<control::call_store>(c.handle(control::tick{}, at)) == 0);
+    }
+}
+
+TEST_CASE("status tells in force only when each live member applies it") {
+    control::core c({named("a", 7000), {}, "k"}, start);
+    (void)c.handle(push(2), start);
+    const auto in_force = [&](base::time_point at) {
+        const auto out = c.handle(
+            control::query_received{control::call_id(1), language::status{}},
+            at);
+        REQUIRE(count<control::answer_operator>(out) == 1);
+        return std::get<control::answer_operator>(out.back())
+                   .json.find(R"("in_force":true)") != std::string::npos;
+    };
+    const auto hear = [&](std::uint64_t applied, peer::member_state state,
+                          base::time_point at) {
+        (void)c.handle(
+            control::peer_received{peer::news{base::instance_id("b"),
+                                              {base::config_version(applied),
+                                               0,
+                                               {{named("b", 7001), state}},
+                                               {}}}},
+            at);
+    };
+    hear(1, peer::member_state::live, start);
+    CHECK(!in_force(start));
+    hear(2, peer::member_state::live, start);
+    CHECK(in_force(start));
+    (void)c.handle(push(3), start);
+    CHECK(!in_force(start));
+    hear(2, peer::member_state::dead, start); // out of service
+    CHECK(in_force(start));
+}
