Give far overdue long work a second attempt

Cause: long-running work is not hedged, so one on a connection that was forgotten on the way waited for its deadline of ten minutes.

Change: an idempotent long-running request gets a second attempt, within the same budget, once it takes four times the hedging delay. The example of Ageeb declares its archive as long-running.

--- a/examples/generate.py
+++ b/examples/generate.py
@@ -68,9 +68,9 @@
 """)
 
 
-def kind(name, methods, idempotent, deadline_ms, priority):
+def kind(name, methods, idempotent, deadline_ms, priority, **more):
     return {"id": name, "methods": methods, "idempotent": idempotent,
-            "deadline_ms": deadline_ms, "priority": priority}
+            "deadline_ms": deadline_ms, "priority": priority, **more}
 
 
 deployment(
@@ -89,4 +89,5 @@
      {"id": "ledger-archive", "targets": 12, "slots": 7, "connections": 330,
       "kinds": [kind("lookup", ["GET", "HEAD"], True, 500, 1),
                 kind("deposit", ["POST"], False, 5000, 0),
-                kind("archive", ["PUT"], True, 600000, 9)]}], 19000)
+                kind("archive", ["PUT"], True, 600000, 9,
+                     long_running=True)]}], 19000)
--- a/pollenreel/declarations/document.hpp
+++ b/pollenreel/declarations/document.hpp
@@ -59,8 +59,8 @@
     // Much longer than other work of the service; kept apart from it.
     bool long_running = false;
     // An idempotent request is sent a second time once it takes longer than
-    // this percentile of recent ones; 0: never. Lower cuts the tail more and
-    // costs targets more.
+    // this percentile of recent ones (long-running work: a multiple of it);
+    // 0: never. Lower cuts the tail more and costs targets more.
     std::uint32_t hedge_percentile = 95;
     // Most second attempts, as a share of requests. Higher helps when many
     // targets are slow and adds as much load at the worst moment.
--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -14,6 +14,10 @@
 // Attempts of one request, the first included. More would let a request walk
 // through a failing fleet.
 constexpr std::size_t most_attempts = 3;
+// Long-running work costs too much to repeat for the sake of its tail: it is
+// sent a second time only when it takes this multiple of the hedging delay,
+// which a forgotten connection or a dead target does. Lower finds that sooner.
+constexpr int overdue_factor = 4;
 // A request that waited is not started when it has less time left than this
 // quantile of recent latencies takes. Higher wastes fewer slots on work that
 // comes too late and refuses more that would just have made it.
@@ -268,11 +272,14 @@
 
 void core::arm_hedge(pending& p, base::time_point now) {
     const auto& kind = p.request.kind;
-    if (!kind.idempotent || kind.long_running || kind.hedge_percentile == 0) {
+    if (!kind.idempotent || kind.hedge_percentile == 0) {
         return;
     }
-    const auto delay =
-        state_of(p.request).latency.quantile(kind.hedge_percentile / 100.0);
+    const auto& latency = state_of(p.request).latency;
+    auto delay = latency.quantile(kind.hedge_percentile / 100.0);
+    if (delay && kind.long_running) {
+        *delay *= overdue_factor;
+    }
     if (delay && now + *delay < p.request.deadline) {
         p.hedge_at = now + *delay;
         m_timers.emplace(*p.hedge_at, p.request.id, timer::hedge);
--- a/pollenreel/request/fault_sequences_test.cpp
+++ b/pollenreel/request/fault_sequences_test.cpp
@@ -27,6 +27,7 @@
     deadline,
     caller_gone,
     stopping,
+    short_wait, // in no sequence; for the table below
 };
 constexpr std::array all_faults = {fault::connected,   fault::connect_failed,
                                    fault::lost,        fault::answered,
@@ -99,6 +100,9 @@
             return pass(request::caller_gone{m_id});
         case fault::stopping:
             return pass(request::stop_requested{});
+        case fault::short_wait:
+            m_now += 20ms;
+            return pass(request::tick{});
         }
     }
 
@@ -307,11 +311,21 @@
          {{fault::connected, false}, {fault::deadline, false}},
          1,
          {{outcome::unknown, reason::deadline_expired}}},
-        {"long work is not hedged",
+        {"long work is not hedged like a look-up",
          "PUT",
-         {{fault::connected, false}, {fault::hedge_time, false}},
+         {{fault::connected, false}, {fault::short_wait, false}},
          1,
          {}},
+        {"a look-up is, after as long",
+         "GET",
+         {{fault::connected, false}, {fault::short_wait, false}},
+         2,
+         {}},
+        {"long work that is far overdue gets a second attempt",
+         "PUT",
+         {{fault::connected, false}, {fault::hedge_time, false}},
+         2,
+         {}},
     };
     for (const auto& r : rows) {
         CAPTURE(r.name);
