--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -6,6 +6,7 @@
 #include "pollenreel/node/node_benchmark.hpp"
 #include "pollenreel/request/benchmarks.hpp"
 #include "testing/in_force.hpp"
+#include "pollenreel/shift/benchmarks.hpp"
 
 #include <fmt/format.h>
 
@@ -38,6 +39,8 @@
          node::measure_path_cost},
         {"tail", true, "look-up latency while some targets are slowed",
          request::measure_tail},
+        {"cap", true, "a shift under its cap, with and without faults",
+         shift::measure_cap},
         {"short_behind_long", true, "look-up latency beside long work",
          request::measure_short_behind_long},
         {"at_most_once", true, "faults at every step of an attempt",
