--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -143,6 +143,10 @@
         }
         beast::error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        m_stream.socket().set_option(asio::socket_base::keep_alive(true),
+                                     ignored);
+        m_stream.socket().set_option(user_timeout(unacknowledged_limit.count()),
+                                     ignored);
         m_stream.socket().non_blocking(true, ignored);
         m_reusable = true;
         done(boost::outcome_v2::success());
