--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -5,8 +5,8 @@
 #include "pollenreel/measure/result.hpp"
 #include "pollenreel/node/node_benchmark.hpp"
 #include "pollenreel/request/benchmarks.hpp"
-#include "testing/in_force.hpp"
 #include "pollenreel/shift/benchmarks.hpp"
+#include "testing/in_force.hpp"
 
 #include <fmt/format.h>
 
