Put caps, shifts and spill on the real request path

Cause: shares and plans decided nothing yet. Change: traffic threads report to the control core and spend what it allows; the core drives a coordinator over the peers and the store; choose_region takes a shift's destination or a region with room; a target of another region is no longer taken past the caps.

--- a/pollenreel/control/core.cpp
+++ b/pollenreel/control/core.cpp
@@ -80,6 +80,9 @@
     }
     tell_feed_members(now, out);
     run(m_feed.on_tick(now), now, out);
+    if (m_coordinator) {
+        run(m_coordinator->tick(now), out);
+    }
     republish(now, out);
 }
 
@@ -87,6 +90,12 @@
     if (e.user == store_user::committer) {
         return take_step(m_committer.on_reply(e.reply), now, out);
     }
+    if (e.user == store_user::shares) {
+        if (m_coordinator) {
+            m_coordinator->on_reply(e.reply, now);
+        }
+        return;
+    }
     run(m_feed.on_reply(e.reply, now), now, out);
 }
 
@@ -153,6 +162,9 @@
 
 void core::on(const stop_requested&, base::time_point, effects& out) {
     m_who.self.leaving = true;
+    if (m_coordinator) {
+        m_coordinator->leave();
+    }
     send_heartbeats(out);
 }
 
@@ -200,6 +212,7 @@
                  effects& out) {
     m_configuration = std::move(c);
     m_committer.learn(m_configuration);
+    tell_coordinator(now, out); // before targets that its caps hold for
     m_published.clear();
     republish(now, out);
     tell_feed_members(now, out); // regions may have changed
@@ -215,6 +228,7 @@
     }
     if (live != m_live) {
         m_live = live;
+        tell_coordinator(now, out);
         run(m_feed.on_members(std::move(live), now), now, out);
     }
 }
--- a/pollenreel/control/core.hpp
+++ b/pollenreel/control/core.hpp
@@ -18,6 +18,7 @@
 #include "pollenreel/language/command.hpp"
 #include "pollenreel/peer/message.hpp"
 #include "pollenreel/routing/snapshot.hpp"
+#include "pollenreel/shift/coordinator.hpp"
 #include "pollenreel/store/messages.hpp"
 
 #include <chrono>
@@ -36,10 +37,14 @@
 using call_id = base::number_id<struct call_tag>;
 
 // Who is asking for a store call; comes back with its reply.
-enum class store_user { committer, feed };
+enum class store_user { committer, feed, shares };
 
 // Events.
 struct tick {};
+// What one traffic thread did since its previous report.
+struct traffic_reported {
+    shift::traffic_report report;
+};
 struct store_replied {
     store_user user;
     store::reply reply;
@@ -64,9 +69,9 @@
     declarations::document document;
 };
 struct stop_requested {};
-using event = std::variant<tick, store_replied, watch_reported, peer_received,
-                           query_received, change_received, plan_received,
-                           stop_requested>;
+using event = std::variant<tick, traffic_reported, store_replied,
+                           watch_reported, peer_received, query_received,
+                           change_received, plan_received, stop_requested>;
 
 // Effects. At most one watch is open: opening one closes the one before.
 using feed::close_watch;
@@ -83,19 +88,23 @@
     routing::snapshot_ptr snapshot;
 };
 enum class answer_status { ok, refused, lost_race, undecided };
+struct publish_allowances { // to the traffic threads
+    shift::allowances_ptr allowances;
+};
 struct answer_operator {
     call_id call;
     answer_status status;
     std::string json;
 };
 using effect = std::variant<call_store, open_watch, close_watch, send_peer,
-                            publish, answer_operator>;
+                            publish, publish_allowances, answer_operator>;
 using effects = std::vector<effect>;
 
 struct identity {
     peer::member self;
     std::vector<base::endpoint> seeds;
     std::string configuration_key;
+    std::uint32_t traffic_threads = 1;
 };
 
 class core {
@@ -109,6 +118,9 @@
     [[nodiscard]] const declarations::configuration& configuration() const {
         return m_configuration;
     }
+    // Of the shifts from this instance's region.
+    [[nodiscard]] std::vector<shift::progress>
+    shifts(base::time_point now) const;
     [[nodiscard]] const base::instance_id& self() const {
         return m_who.self.instance;
     }
@@ -119,6 +131,7 @@
 
 private:
     void on(const tick& e, base::time_point now, effects& out);
+    void on(const traffic_reported& e, base::time_point now, effects& out);
     void on(const store_replied& e, base::time_point now, effects& out);
     void on(const watch_reported& e, base::time_point now, effects& out);
     void on(const peer_received& e, base::time_point now, effects& out);
@@ -128,11 +141,17 @@
     void on(const stop_requested& e, base::time_point now, effects& out);
 
     void on(const peer::heartbeat& m, base::time_point now, effects& out);
+    void on(const share::ask& m, base::time_point now, effects& out);
+    void on(const share::grant& m, base::time_point now, effects& out);
+    void on(const shift::load_report& m, base::time_point now, effects& out);
+    void on(const shift::load_summary& m, base::time_point now, effects& out);
     template <class FeedMessage>
     void on(const FeedMessage& m, base::time_point now, effects& out) {
         run(m_feed.on_message(m, now), now, out);
     }
 
+    void run(shift::effects from, effects& out);
+    void tell_coordinator(base::time_point now, effects& out);
     void take_step(committer::step s, base::time_point now, effects& out);
     void run(feed::effects from, base::time_point now, effects& out);
     void apply(declarations::configuration c, base::time_point now,
@@ -151,6 +170,9 @@
     routing::snapshot_ptr m_snapshot = std::make_shared<routing::snapshot>();
     std::optional<base::time_point> m_last_heartbeat;
     feed::feed m_feed;
+    // None as long as this instance's region is not declared.
+    std::optional<shift::coordinator> m_coordinator;
+    base::region_id m_coordinated;
     std::vector<feed::member> m_live; // as the feed was told
 };
 
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -38,7 +38,8 @@
     return {{s.instance.id, s.instance.failure_domain, s.traffic.listen,
              s.peers.listen, incarnation, false},
             s.peers.seeds,
-            s.store.key_prefix + "/configuration"};
+            s.store.key_prefix + "/configuration",
+            static_cast<std::uint32_t>(s.traffic.threads)};
 }
 
 } // namespace
@@ -142,6 +143,12 @@
         }
     }
 
+    void run(const control::publish_allowances& e) {
+        for (auto* t : m_traffic) {
+            t->publish(e.allowances);
+        }
+    }
+
     void run(const control::answer_operator& e) {
         const auto found = m_calls.find(e.call);
         if (found != m_calls.end()) {
@@ -162,6 +169,11 @@
     }
 
     void tick() {
+        shift::traffic_report sum;
+        for (auto* t : m_traffic) {
+            shift::merge(sum, t->take_traffic());
+        }
+        handle(control::traffic_reported{std::move(sum)});
         handle(control::tick{});
         if (m_levels.due(m_clock.now())) {
             observe_levels();
--- a/pollenreel/node/target_pool.cpp
+++ b/pollenreel/node/target_pool.cpp
@@ -84,7 +84,8 @@
         return lose(attempt);
     }
     auto& e = found->second;
-    const auto facts = facts_of(answer.value(), request_id);
+    auto facts = facts_of(answer.value(), request_id);
+    facts.bytes = answer.value().body.size();
     if (facts.id_matches && e.connection->reusable()) {
         m_idle[e.to].push_back(std::move(e.connection));
     }
--- a/pollenreel/node/traffic_thread.cpp
+++ b/pollenreel/node/traffic_thread.cpp
@@ -73,6 +73,17 @@
         });
     }
 
+    void publish(shift::allowances_ptr a) {
+        boost::asio::post(m_io, [this, a = std::move(a)] {
+            handle(request::allowances_changed{a});
+        });
+    }
+
+    shift::traffic_report take_traffic() {
+        const std::lock_guard guard(m_counters_mutex);
+        return shift::take(m_traffic);
+    }
+
     void stop() {
         boost::asio::post(m_io, [this] {
             m_stopping = true;
@@ -229,6 +240,7 @@
     void keep_house() {
         {
             const std::lock_guard guard(m_counters_mutex);
+            shift::add(m_traffic, m_core.take_traffic());
             m_counters = {m_lookups, m_server.counters().malformed,
                           m_core.requests_in_flight(), m_server.connections(),
                           m_core.counts()};
@@ -261,6 +273,7 @@
     bool m_stopping = false;
     mutable std::mutex m_counters_mutex;
     traffic_counters m_counters;
+    shift::traffic_report m_traffic; // not yet taken
     std::thread m_thread;
 };
 
@@ -285,6 +298,14 @@
     m_loop->stop();
 }
 
+void traffic_thread::publish(shift::allowances_ptr a) {
+    m_loop->publish(std::move(a));
+}
+
+shift::traffic_report traffic_thread::take_traffic() {
+    return m_loop->take_traffic();
+}
+
 traffic_counters traffic_thread::counters() const {
     return m_loop->counters();
 }
--- a/pollenreel/node/traffic_thread.hpp
+++ b/pollenreel/node/traffic_thread.hpp
@@ -44,6 +44,9 @@
 
     // From any thread.
     void publish(routing::snapshot_ptr s);
+    void publish(shift::allowances_ptr a);
+    // What was sent where since the previous call.
+    [[nodiscard]] shift::traffic_report take_traffic();
     // Stops listening; requests under way are answered; then the thread ends.
     void stop();
     [[nodiscard]] traffic_counters counters() const;
--- a/pollenreel/peer/codec.cpp
+++ b/pollenreel/peer/codec.cpp
@@ -2,6 +2,7 @@
 
 #include "pollenreel/base/overloaded.hpp"
 #include "pollenreel/peer/feed_codec.hpp"
+#include "pollenreel/peer/shift_codec.hpp"
 #include "proto/peer.pb.h"
 
 namespace pollenreel::peer {
@@ -59,26 +60,35 @@
 
 std::string encode(const message& m) {
     wire::Envelope e;
-    std::visit(base::overloaded{
-                   [&](const heartbeat& h) {
-                       auto& to = *e.mutable_heartbeat();
-                       fill(*to.mutable_sender(), h.sender);
-                       to.set_applied_version(h.applied.value());
-                       for (const auto& k : h.known) {
-                           fill(*to.add_known(), k);
-                       }
-                   },
-                   [&](const feed::push& p) {
-                       fill(*e.mutable_configuration_push(), p);
-                   },
-                   [&](const feed::pull& p) {
-                       fill(*e.mutable_configuration_pull(), p);
-                   },
-                   [&](const feed::digest& d) {
-                       fill(*e.mutable_configuration_digest(), d);
-                   },
-               },
-               m);
+    std::visit(
+        base::overloaded{
+            [&](const heartbeat& h) {
+                auto& to = *e.mutable_heartbeat();
+                fill(*to.mutable_sender(), h.sender);
+                to.set_applied_version(h.applied.value());
+                for (const auto& k : h.known) {
+                    fill(*to.add_known(), k);
+                }
+            },
+            [&](const feed::push& p) {
+                fill(*e.mutable_configuration_push(), p);
+            },
+            [&](const feed::pull& p) {
+                fill(*e.mutable_configuration_pull(), p);
+            },
+            [&](const feed::digest& d) {
+                fill(*e.mutable_configuration_digest(), d);
+            },
+            [&](const share::ask& a) { fill(*e.mutable_share_ask(), a); },
+            [&](const share::grant& g) { fill(*e.mutable_share_grant(), g); },
+            [&](const shift::load_report& r) {
+                fill(*e.mutable_load_report(), r);
+            },
+            [&](const shift::load_summary& s) {
+                fill(*e.mutable_load_summary(), s);
+            },
+        },
+        m);
     return e.SerializeAsString();
 }
 
@@ -97,6 +107,14 @@
         return as_message(read(e.configuration_pull()));
     case wire::Envelope::kConfigurationDigest:
         return as_message(read(e.configuration_digest()));
+    case wire::Envelope::kShareAsk:
+        return as_message(read(e.share_ask()));
+    case wire::Envelope::kShareGrant:
+        return as_message(read(e.share_grant()));
+    case wire::Envelope::kLoadReport:
+        return as_message(read(e.load_report()));
+    case wire::Envelope::kLoadSummary:
+        return as_message(read(e.load_summary()));
     case wire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/pollenreel/peer/message.hpp
+++ b/pollenreel/peer/message.hpp
@@ -5,6 +5,7 @@
 #include "pollenreel/base/endpoint.hpp"
 #include "pollenreel/base/ids.hpp"
 #include "pollenreel/feed/messages.hpp"
+#include "pollenreel/shift/messages.hpp"
 
 #include <cstdint>
 #include <string>
@@ -32,6 +33,8 @@
     std::vector<member> known;
 };
 
-using message = std::variant<heartbeat, feed::push, feed::pull, feed::digest>;
+using message =
+    std::variant<heartbeat, feed::push, feed::pull, feed::digest, share::ask,
+                 share::grant, shift::load_report, shift::load_summary>;
 
 } // namespace pollenreel::peer
--- /dev/null
+++ b/pollenreel/peer/shift_codec.cpp
@@ -0,0 +1,146 @@
+#include "pollenreel/peer/shift_codec.hpp"
+
+#include <cmath>
+
+namespace pollenreel::peer {
+
+namespace {
+
+template <class Uses>
+void fill_uses(Uses& to, const shift::uses& from) {
+    for (const auto& [p, use] : from) {
+        auto& one = *to.Add();
+        one.set_service(p.first.str());
+        one.set_region(p.second.str());
+        one.set_slots(static_cast<float>(use.slots));
+        one.set_started(use.started);
+        one.set_held_back(use.held_back);
+    }
+}
+
+template <class Uses>
+std::optional<shift::uses> read_uses(const Uses& from) {
+    shift::uses read;
+    for (const auto& one : from) {
+        if (!std::isfinite(one.slots()) || one.slots() < 0) {
+            return std::nullopt;
+        }
+        read[{base::service_id(one.service()), base::region_id(one.region())}] =
+            {one.slots(), one.started(), one.held_back()};
+    }
+    return read;
+}
+
+bool possible(std::uint32_t part) {
+    return part <= share::whole.value;
+}
+
+} // namespace
+
+void fill(wire::ShareAsk& to, const share::ask& from) {
+    to.set_instance(from.claimant.instance.str());
+    to.set_incarnation(from.claimant.incarnation);
+    to.set_reply_to(from.reply_to.str());
+    to.set_owner(from.owner.str());
+    to.set_sequence(from.sequence);
+    to.set_epoch(from.epoch);
+    for (const auto& item : from.items) {
+        auto& one = *to.add_items();
+        one.set_resource(share::to_key(item.what));
+        one.set_held(item.held.value);
+        one.set_want(item.want.value);
+    }
+}
+
+void fill(wire::ShareGrant& to, const share::grant& from) {
+    to.set_instance(from.claimant.instance.str());
+    to.set_incarnation(from.claimant.incarnation);
+    to.set_owner(from.owner.str());
+    to.set_epoch(from.epoch);
+    to.set_sequence(from.sequence);
+    for (const auto& item : from.items) {
+        auto& one = *to.add_items();
+        one.set_resource(share::to_key(item.what));
+        one.set_granted(item.share.value);
+    }
+    for (const auto& [shift, moved] : from.progress) {
+        (*to.mutable_progress())[shift.str()] = moved.value;
+    }
+}
+
+void fill(wire::LoadReport& to, const shift::load_report& from) {
+    to.set_instance(from.instance.str());
+    fill_uses(*to.mutable_uses(), from.at);
+}
+
+void fill(wire::LoadSummary& to, const shift::load_summary& from) {
+    to.set_region(from.region.str());
+    to.set_entries(from.entries);
+    fill_uses(*to.mutable_uses(), from.at);
+}
+
+std::optional<share::ask> read(const wire::ShareAsk& from) {
+    const auto reply_to = base::parse_endpoint(from.reply_to());
+    if (!reply_to) {
+        return std::nullopt;
+    }
+    const base::region_id owner(from.owner());
+    share::ask a{{base::instance_id(from.instance()), from.incarnation()},
+                 reply_to.value(),
+                 owner,
+                 from.sequence(),
+                 from.epoch(),
+                 {}};
+    for (const auto& one : from.items()) {
+        const auto what = share::from_key(owner, one.resource());
+        if (!what || !possible(one.held()) || !possible(one.want())) {
+            return std::nullopt;
+        }
+        a.items.push_back({*what, {one.held()}, {one.want()}});
+    }
+    return a;
+}
+
+std::optional<share::grant> read(const wire::ShareGrant& from) {
+    const base::region_id owner(from.owner());
+    share::grant g{{base::instance_id(from.instance()), from.incarnation()},
+                   owner,
+                   from.epoch(),
+                   from.sequence(),
+                   {},
+                   {}};
+    for (const auto& one : from.items()) {
+        const auto what = share::from_key(owner, one.resource());
+        if (!what || !possible(one.granted())) {
+            return std::nullopt;
+        }
+        g.items.push_back({*what, {one.granted()}});
+    }
+    for (const auto& [shift, moved] : from.progress()) {
+        if (!possible(moved)) {
+            return std::nullopt;
+        }
+        g.progress[base::shift_id(shift)] = {moved};
+    }
+    return g;
+}
+
+std::optional<shift::load_report> read(const wire::LoadReport& from) {
+    auto uses = read_uses(from.uses());
+    if (!uses) {
+        return std::nullopt;
+    }
+    return shift::load_report{base::instance_id(from.instance()),
+                              std::move(*uses)};
+}
+
+std::optional<shift::load_summary> read(const wire::LoadSummary& from) {
+    auto uses = read_uses(from.uses());
+    if (!uses) {
+        return std::nullopt;
+    }
+    return shift::load_summary{base::region_id(from.region()), from.entries(),
+                               std::move(*uses)};
+}
+
+} // namespace pollenreel::peer
--- a/pollenreel/request/attempt.hpp
+++ b/pollenreel/request/attempt.hpp
@@ -16,6 +16,7 @@
     unsigned status = 0;
     bool shed = false;       // refused in the way documented as not run
     bool id_matches = false; // echoed the request id that it was sent
+    std::uint64_t bytes = 0; // head and body
 };
 
 class attempt {
--- a/pollenreel/request/choose_region.cpp
+++ b/pollenreel/request/choose_region.cpp
@@ -1,25 +1,64 @@
 #include "pollenreel/request/choose_region.hpp"
 
+#include <algorithm>
+
 namespace pollenreel::request {
 
-filtered<base::region_id> choose_region(const classified& c,
-                                        const routing::snapshot& s) {
+namespace {
+
+shift::candidate candidate_of(const classified& c, std::uint64_t request_bytes,
+                              const routing::snapshot& s) {
+    shift::candidate one;
+    one.service = c.service;
+    one.request = c.id;
+    one.request_bytes = request_bytes;
+    one.own = s.region;
+    one.own_takes_work = false;
+    one.priority = c.kind.priority;
     const auto service = s.services.find(c.service);
-    const base::region_id* first = nullptr;
-    if (service != s.services.end()) {
-        for (const auto& t : service->second.targets) {
-            if (t.accepts_new_work && t.region == s.region) {
-                return t.region;
-            }
-            if (t.accepts_new_work && first == nullptr) {
-                first = &t.region;
-            }
+    if (service == s.services.end()) {
+        return one;
+    }
+    for (const auto& t : service->second.targets) {
+        if (!t.accepts_new_work) {
+            continue;
         }
+        if (t.region == s.region) {
+            one.own_takes_work = true;
+        } else if (std::find(one.others.begin(), one.others.end(), t.region) ==
+                   one.others.end()) {
+            one.others.push_back(t.region);
+        }
+    }
+    if (!one.others.empty()) { // entries do not all begin with the same one
+        const auto first = c.id.value() % one.others.size();
+        std::rotate(one.others.begin(),
+                    one.others.begin() + static_cast<std::ptrdiff_t>(first),
+                    one.others.end());
     }
-    if (first == nullptr) {
+    return one;
+}
+
+} // namespace
+
+filtered<shift::go> choose_region(const classified& c,
+                                  std::uint64_t request_bytes,
+                                  const routing::snapshot& s,
+                                  shift::spender& spender,
+                                  base::time_point now) {
+    const auto one = candidate_of(c, request_bytes, s);
+    if (!one.own_takes_work && one.others.empty()) {
         return refusal{outcome::not_run, reason::no_target};
     }
-    return *first;
+    if (!spender.has_allowances()) {
+        const auto& to = one.own_takes_work ? one.own : one.others.front();
+        return shift::go{c.service, to, std::nullopt, false, {}};
+    }
+    auto d = spender.decide(one, now);
+    if (auto* go = std::get_if<shift::go>(&d)) {
+        return std::move(*go);
+    }
+    return refusal{outcome::not_run, reason::overloaded};
 }
 
 } // namespace pollenreel::request
--- a/pollenreel/request/choose_region.hpp
+++ b/pollenreel/request/choose_region.hpp
@@ -2,12 +2,18 @@
 #pragma once
 
 #include "pollenreel/request/types.hpp"
+#include "pollenreel/shift/spender.hpp"
 
 namespace pollenreel::request {
 
 // This instance's own region if the service has a target there that takes new
-// work, else the first region that has one. Refuses with not_run: no_target.
-[[nodiscard]] filtered<base::region_id>
-choose_region(const classified& c, const routing::snapshot& s);
+// work; the destination of a shift for the part that it moves; another region
+// within its headroom when the own one takes no work. Keeps to the allowances
+// of `spender`. Refuses with not_run: no_target, overloaded.
+[[nodiscard]] filtered<shift::go> choose_region(const classified& c,
+                                                std::uint64_t request_bytes,
+                                                const routing::snapshot& s,
+                                                shift::spender& spender,
+                                                base::time_point now);
 
 } // namespace pollenreel::request
--- a/pollenreel/request/choose_target.cpp
+++ b/pollenreel/request/choose_target.cpp
@@ -118,7 +118,11 @@
     if (among.empty()) {
         return refusal{outcome::not_run, reason::no_target};
     }
-    among = prefer(among, [&](const auto& t) { return t.region == region; });
+    // Another region's targets would be reached past the caps.
+    std::erase_if(among, [&](const auto* t) { return t->region != region; });
+    if (among.empty()) {
+        return refusal{outcome::not_run, reason::no_target};
+    }
     among = prefer(among, [&](const auto& t) {
         return contains(wishes.preferred, t.id) && !book.hot(t.id, now);
     });
--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -64,13 +64,14 @@
         return refuse(e.id, *r, now, out);
     }
     const auto& request = std::get<classified>(a);
-    const auto region = choose_region(request, *m_snapshot);
-    if (const auto* r = std::get_if<refusal>(&region)) {
+    auto way = choose_region(request, e.bytes, *m_snapshot, m_spender, now);
+    if (const auto* r = std::get_if<refusal>(&way)) {
         return refuse(e.id, *r, now, out);
     }
     auto& p = m_pending[e.id];
     p.request = request;
-    p.region = std::get<base::region_id>(region);
+    p.way = std::get<shift::go>(std::move(way));
+    p.region = p.way.to;
     p.arrived = now;
     p.lane = request.kind.long_running ? lane::of_long : lane::of_short;
     m_timers.emplace(p.request.deadline, e.id, timer::deadline);
@@ -196,13 +197,17 @@
     if (const auto* r = std::get_if<refusal>(&chosen)) {
         return *r;
     }
+    if (!m_spender.may_start(p.way, now)) {
+        return refusal{outcome::not_run, reason::overloaded};
+    }
     const auto& to = std::get<choice>(chosen);
     m_last_attempt = m_last_attempt.next();
     const auto id = m_last_attempt;
+    m_spender.started(id, p.way, now);
     note_place(p, to.target);
     p.open.push_back(id);
     p.tried.push_back(to.target);
-    m_open[id] = open{{}, p.request.id, now, why == cause::hedge};
+    m_open[id] = open{{}, p.request.id, now, why == cause::hedge, {}};
     const auto usual = state_of(p.request).latency.quantile(0.5);
     m_book.started(id, to.target, usual.value_or(base::duration{}), now);
     ++m_counters.attempts;
@@ -251,6 +256,10 @@
     }
 }
 
+void core::on(const allowances_changed& e, base::time_point, effects&) {
+    m_spender.set(e.allowances);
+}
+
 void core::on(const attempt_connected& e, base::time_point now, effects& out) {
     if (const auto found = m_open.find(e.attempt); found != m_open.end()) {
         after_step(e.attempt, found->second.machine.on_connected(), now, out);
@@ -267,6 +276,7 @@
 
 void core::on(const attempt_answered& e, base::time_point now, effects& out) {
     if (const auto found = m_open.find(e.attempt); found != m_open.end()) {
+        found->second.answer_bytes = e.facts.bytes;
         after_step(e.attempt, found->second.machine.on_answer(e.facts), now,
                    out);
     }
@@ -342,7 +352,7 @@
     }
     m_book.answered(id, now);
     out.emplace_back(forward_answer{won.request, id});
-    forget_attempt(id);
+    forget_attempt(id, now);
     const auto losers = p.open;
     for (const auto loser : losers) {
         if (!m_open.at(loser).hedge) {
@@ -362,7 +372,7 @@
     } else {
         m_book.failed(id, now);
     }
-    forget_attempt(id);
+    forget_attempt(id, now);
     auto& p = m_pending.at(failed.request);
     p.may_have_run = p.may_have_run || how.outcome == outcome::unknown;
     if (!p.open.empty()) {
@@ -399,7 +409,7 @@
         p.may_have_run || a.machine.failure().outcome == outcome::unknown;
     m_book.abandoned(id, now);
     out.emplace_back(abandon_attempt{id});
-    forget_attempt(id);
+    forget_attempt(id, now);
 }
 
 void core::refuse(base::request_id id, refusal r, base::time_point now,
@@ -414,8 +424,9 @@
     forget_request(id, now);
 }
 
-void core::forget_attempt(base::attempt_id id) {
+void core::forget_attempt(base::attempt_id id, base::time_point now) {
     const auto found = m_open.find(id);
+    m_spender.finished(id, found->second.answer_bytes, now);
     std::erase(m_pending.at(found->second.request).open, id);
     m_open.erase(found);
 }
--- a/pollenreel/request/core.hpp
+++ b/pollenreel/request/core.hpp
@@ -20,6 +20,7 @@
 #include "pollenreel/request/service_plan.hpp"
 #include "pollenreel/request/target_book.hpp"
 #include "pollenreel/request/types.hpp"
+#include "pollenreel/shift/spender.hpp"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
@@ -38,6 +39,9 @@
 struct snapshot_changed {
     routing::snapshot_ptr snapshot;
 };
+struct allowances_changed {
+    shift::allowances_ptr allowances;
+};
 struct attempt_connected {
     base::attempt_id attempt;
 };
@@ -57,9 +61,10 @@
 struct tick {};
 struct stop_requested {};
 
-using event = std::variant<snapshot_changed, arrival, attempt_connected,
-                           attempt_connect_failed, attempt_answered,
-                           attempt_lost, caller_gone, tick, stop_requested>;
+using event =
+    std::variant<snapshot_changed, allowances_changed, arrival,
+                 attempt_connected, attempt_connect_failed, attempt_answered,
+                 attempt_lost, caller_gone, tick, stop_requested>;
 
 // Effects.
 struct open_attempt { // get a connection to the target
@@ -117,6 +122,10 @@
     // When the core next needs a `tick`; empty: not before another event.
     [[nodiscard]] std::optional<base::time_point> next_wakeup() const;
     [[nodiscard]] std::size_t requests_in_flight() const;
+    // What was sent where since the previous call.
+    [[nodiscard]] shift::traffic_report take_traffic() {
+        return m_spender.take_report();
+    }
     [[nodiscard]] const counters& counts() const { return m_counters; }
 
 private:
@@ -124,6 +133,7 @@
     enum class cause { first, retry, hedge };
     struct pending {
         classified request;
+        shift::go way;
         std::vector<base::attempt_id> open;
         std::vector<base::target_id> tried;
         std::optional<base::time_point> hedge_at;
@@ -140,6 +150,7 @@
         base::request_id request;
         base::time_point since;
         bool hedge = false;
+        std::optional<std::uint64_t> answer_bytes; // once it is whole
     };
     // The lanes of one service in one region.
     struct pool {
@@ -160,6 +171,7 @@
 
     void on(const snapshot_changed& e, base::time_point now, effects& out);
     void on(const arrival& e, base::time_point now, effects& out);
+    void on(const allowances_changed& e, base::time_point now, effects& out);
     void on(const attempt_connected& e, base::time_point now, effects& out);
     void on(const attempt_connect_failed& e, base::time_point now,
             effects& out);
@@ -203,7 +215,7 @@
                  effects& out);
     void refuse(base::request_id id, refusal r, base::time_point now,
                 effects& out);
-    void forget_attempt(base::attempt_id id);
+    void forget_attempt(base::attempt_id id, base::time_point now);
     void forget_request(base::request_id id, base::time_point now);
 
     options m_options;
@@ -216,6 +228,7 @@
     boost::unordered_flat_map<base::attempt_id, open> m_open;
     std::set<std::tuple<base::time_point, base::request_id, timer>> m_timers;
     target_book m_book;
+    shift::spender m_spender;
     std::map<kind_key, kind_state> m_kinds;
     std::map<pool_key, pool> m_pools;
     std::set<pool*> m_with_new_room;
--- a/pollenreel/request/types.hpp
+++ b/pollenreel/request/types.hpp
@@ -53,6 +53,7 @@
     std::string method;
     std::optional<base::kind_id> kind;                 // named by the caller
     std::optional<std::chrono::milliseconds> deadline; // named by the caller
+    std::uint64_t bytes = 0;                           // head and body
 };
 
 // A request whose kind of work and deadline are known.
--- a/pollenreel/shift/coordinator.hpp
+++ b/pollenreel/shift/coordinator.hpp
@@ -47,8 +47,6 @@
     std::uint32_t threads = 1; // that allowances are split over
 };
 
-using message =
-    std::variant<share::ask, share::grant, load_report, load_summary>;
 struct send {
     base::endpoint to;
     shift::message message;
--- a/pollenreel/shift/messages.hpp
+++ b/pollenreel/shift/messages.hpp
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "pollenreel/base/ids.hpp"
+#include "pollenreel/share/messages.hpp"
 #include "pollenreel/shift/allowances.hpp"
 
 #include <cstdint>
 #include <map>
+#include <variant>
 
 namespace pollenreel::shift {
 
@@ -36,4 +38,7 @@
     friend bool operator==(const load_summary&, const load_summary&) = default;
 };
 
+using message =
+    std::variant<share::ask, share::grant, load_report, load_summary>;
+
 } // namespace pollenreel::shift
--- a/pollenreel/shift/spender.cpp
+++ b/pollenreel/shift/spender.cpp
@@ -32,7 +32,27 @@
     return x % share::whole.value < fraction.value;
 }
 
-spender::spender() : m_allowances(std::make_shared<allowances>()) {}
+void add(traffic_report& to, const traffic_report& later) {
+    for (const auto& [p, r] : later) {
+        auto& sum = to[p];
+        sum.started += r.started;
+        sum.bytes += r.bytes;
+        sum.held_back += r.held_back;
+        sum.in_flight = r.in_flight;
+        sum.slots = r.slots;
+    }
+}
+
+void merge(traffic_report& to, const traffic_report& other) {
+    for (const auto& [p, r] : other) {
+        auto& sum = to[p];
+        sum.started += r.started;
+        sum.bytes += r.bytes;
+        sum.held_back += r.held_back;
+        sum.in_flight += r.in_flight;
+        sum.slots += r.slots;
+    }
+}
 
 void spender::set(allowances_ptr a) {
     m_allowances = std::move(a);
@@ -133,7 +153,7 @@
     auto& report = m_report[p];
     ++report.started;
     ++report.in_flight;
-    if (m_allowances->limits.contains(p)) {
+    if (m_allowances && m_allowances->limits.contains(p)) {
         m_limit_sums.try_emplace(p, limit_window).first->second.add(1, now);
     }
     if (g.crosses) {
@@ -174,21 +194,24 @@
     }
 }
 
-traffic_report spender::take_report() {
-    for (auto& [p, r] : m_report) {
-        r.slots = r.in_flight * busy_part(p, m_own);
-    }
-    auto taken = m_report;
-    for (auto& [p, r] : m_report) {
+traffic_report take(traffic_report& from) {
+    auto taken = from;
+    for (auto& [p, r] : from) {
         r.started = 0;
         r.bytes = 0;
         r.held_back = 0;
     }
-    std::erase_if(m_report,
-                  [](const auto& r) { return r.second.in_flight == 0; });
+    std::erase_if(from, [](const auto& r) { return r.second.in_flight == 0; });
     return taken;
 }
 
+traffic_report spender::take_report() {
+    for (auto& [p, r] : m_report) {
+        r.slots = r.in_flight * busy_part(p, m_own);
+    }
+    return take(m_report);
+}
+
 void spender::learn_time(const place& p, base::duration took,
                          base::time_point now) {
     auto& t = m_times[p];
--- a/pollenreel/shift/spender.hpp
+++ b/pollenreel/shift/spender.hpp
@@ -55,14 +55,27 @@
     friend bool operator==(const place_report&, const place_report&) = default;
 };
 using traffic_report = std::map<place, place_report>;
+// Adds a later report of the same thread: counts add up, the rest is as of
+// the later one.
+void add(traffic_report& to, const traffic_report& later);
+// Takes the counts out of `from`; what is as of now stays.
+[[nodiscard]] traffic_report take(traffic_report& from);
+// Adds a report of another thread for the same time.
+void merge(traffic_report& to, const traffic_report& other);
 
 class spender {
 public:
-    spender();
-
+    // From the first call on; before it there is nothing to keep to.
     void set(allowances_ptr a);
 
     [[nodiscard]] decision decide(const candidate& c, base::time_point now);
+    // Whether `g`, decided a while ago or for another attempt, may still go.
+    [[nodiscard]] bool may_start(const go& g, base::time_point now) {
+        return !g.crosses || may_cross(g, now);
+    }
+    [[nodiscard]] bool has_allowances() const {
+        return m_allowances != nullptr;
+    }
     void started(base::attempt_id attempt, const go& g, base::time_point now);
     // `answer_bytes` is empty when no whole answer came.
     void finished(base::attempt_id attempt,
