--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -41,7 +41,7 @@
          request::measure_tail},
         {"cap", true, "a shift under its cap, with and without faults",
          shift::measure_cap},
-        {"headroom", true, "a region fails at 60% load",
+        {"headroom_regions", true, "a region fails at 60% load",
          shift::measure_headroom},
         {"short_behind_long", true, "look-up latency beside long work",
          request::measure_short_behind_long},
--- a/pollenreel/shift/headroom_benchmark.cpp
+++ b/pollenreel/shift/headroom_benchmark.cpp
@@ -66,14 +66,15 @@
     unlimited.split_spill = false;
     const auto ours = fail_one(o);
     const auto simplest = fail_one(unlimited);
-    return {judged({"headroom", "slots in use in the fuller region, over 1 s",
-                    seed},
-                   ours.fill, "of all", full, simplest.fill),
-            judged({"headroom", "look-ups and orders lost of a failed region",
-                    seed},
-                   ours.urgent_lost, "1", 0, simplest.urgent_lost),
-            reported({"headroom", "browsing lost of a failed region", seed},
-                     ours.browsing_lost, "1")};
+    return {
+        judged({"headroom_regions",
+                "slots in use in the fuller region, over 1 s", seed},
+               ours.fill, "of all", full, simplest.fill),
+        judged({"headroom_regions",
+                "look-ups and orders lost of a failed region", seed},
+               ours.urgent_lost, "1", 0, simplest.urgent_lost),
+        reported({"headroom_regions", "browsing lost of a failed region", seed},
+                 ours.browsing_lost, "1")};
 }
 
 } // namespace
--- a/pollenreel/shift/spender.cpp
+++ b/pollenreel/shift/spender.cpp
@@ -59,6 +59,7 @@
 
 void spender::set(allowances_ptr a) {
     m_allowances = std::move(a);
+    m_told = true;
     const auto& moves = m_allowances->moves;
     std::erase_if(m_shift_pacers, [&](const auto& p) {
         const bool commanded =
@@ -156,7 +157,7 @@
     auto& report = m_report[p];
     ++report.started;
     ++report.in_flight;
-    if (m_allowances && m_allowances->limits.contains(p)) {
+    if (m_allowances->limits.contains(p)) {
         m_limit_sums.try_emplace(p, limit_window).first->second.add(1, now);
     }
     if (g.crosses) {
--- a/pollenreel/shift/spender.hpp
+++ b/pollenreel/shift/spender.hpp
@@ -73,9 +73,7 @@
     [[nodiscard]] bool may_start(const go& g, base::time_point now) {
         return !g.crosses || may_cross(g, now);
     }
-    [[nodiscard]] bool has_allowances() const {
-        return m_allowances != nullptr;
-    }
+    [[nodiscard]] bool has_allowances() const { return m_told; }
     void started(base::attempt_id attempt, const go& g, base::time_point now);
     // `answer_bytes` is empty when no whole answer came.
     void finished(base::attempt_id attempt,
@@ -109,7 +107,8 @@
     void learn_time(const place& p, base::duration took, base::time_point now);
     void learn_answer(const base::service_id& s, std::uint64_t bytes);
 
-    allowances_ptr m_allowances;
+    allowances_ptr m_allowances = std::make_shared<allowances>();
+    bool m_told = false;
     std::map<base::shift_id, pacer> m_shift_pacers;
     std::map<base::region_id, pacer> m_way_pacers;
     std::map<place, sliding_sum> m_limit_sums;
