--- a/pollenreel/control/core.cpp
+++ b/pollenreel/control/core.cpp
@@ -76,6 +76,9 @@
     tick_membership(now, out);
     tell_feed_members(now, out);
     run(m_feed.on_tick(now), now, out);
+    if (m_coordinator) {
+        run(m_coordinator->tick(now), out);
+    }
     republish(now, out);
 }
 
@@ -83,6 +86,12 @@
     if (e.user == store_user::committer) {
         return take_step(m_committer.on_reply(e.reply), now, out);
     }
+    if (e.user == store_user::shares) {
+        if (m_coordinator) {
+            m_coordinator->on_reply(e.reply, now);
+        }
+        return;
+    }
     run(m_feed.on_reply(e.reply, now), now, out);
 }
 
@@ -101,6 +110,10 @@
         }
         tell_feed_members(now, out);
         republish(now, out);
+    } else if constexpr (std::is_constructible_v<shift::message, Message>) {
+        if (m_coordinator) {
+            run(m_coordinator->on_message(m, now), out);
+        }
     } else {
         run(m_feed.on_message(m, now), now, out);
     }
@@ -168,6 +181,9 @@
 
 void core::on(const stop_requested&, base::time_point now, effects& out) {
     m_stopping = true;
+    if (m_coordinator) {
+        m_coordinator->leave();
+    }
     m_membership.set_leaving(true, now);
     tick_membership(now, out);
     tell_feed_members(now, out);
@@ -222,6 +238,7 @@
     m_membership.set_regions(regions_of(m_configuration.declared));
     m_membership.set_applied(m_configuration.version);
     obey_drains(now, starting, out);
+    tell_coordinator(now, out); // before targets that its caps hold for
     m_published_generation = 0;
     republish(now, out);
     m_told_generation = 0; // regions may have changed
@@ -240,6 +257,7 @@
     }
     if (live != m_live) {
         m_live = live;
+        tell_coordinator(now, out);
         run(m_feed.on_members(std::move(live), now), now, out);
     }
 }
--- a/pollenreel/node/target_pool.cpp
+++ b/pollenreel/node/target_pool.cpp
@@ -101,7 +101,8 @@
         return lose(attempt);
     }
     auto& e = found->second;
-    const auto facts = facts_of(answer.value(), request_id);
+    auto facts = facts_of(answer.value(), request_id);
+    facts.bytes = answer.value().body.size();
     release(e, facts.id_matches);
     e.answer = std::move(answer.value());
     m_report(request::attempt_answered{attempt, facts});
--- a/pollenreel/peer/codec.cpp
+++ b/pollenreel/peer/codec.cpp
@@ -1,6 +1,7 @@
 #include "pollenreel/peer/codec.hpp"
 
 #include "pollenreel/peer/feed_codec.hpp"
+#include "pollenreel/peer/shift_codec.hpp"
 #include "proto/peer.pb.h"
 
 namespace pollenreel::peer {
@@ -170,6 +171,22 @@
     peer::fill(*e.mutable_configuration_digest(), d);
 }
 
+void fill(wire::Envelope& e, const share::ask& a) {
+    peer::fill(*e.mutable_share_ask(), a);
+}
+
+void fill(wire::Envelope& e, const share::grant& g) {
+    peer::fill(*e.mutable_share_grant(), g);
+}
+
+void fill(wire::Envelope& e, const shift::load_report& r) {
+    peer::fill(*e.mutable_load_report(), r);
+}
+
+void fill(wire::Envelope& e, const shift::load_summary& s) {
+    peer::fill(*e.mutable_load_summary(), s);
+}
+
 } // namespace
 
 std::string encode(const message& m) {
@@ -201,6 +218,14 @@
         return as_message(read(e.configuration_pull()));
     case wire::Envelope::kConfigurationDigest:
         return as_message(read(e.configuration_digest()));
+    case wire::Envelope::kShareAsk:
+        return as_message(read(e.share_ask()));
+    case wire::Envelope::kShareGrant:
+        return as_message(read(e.share_grant()));
+    case wire::Envelope::kLoadReport:
+        return as_message(read(e.load_report()));
+    case wire::Envelope::kLoadSummary:
+        return as_message(read(e.load_summary()));
     case wire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/pollenreel/peer/message.hpp
+++ b/pollenreel/peer/message.hpp
@@ -5,6 +5,7 @@
 #include "pollenreel/base/endpoint.hpp"
 #include "pollenreel/base/ids.hpp"
 #include "pollenreel/feed/messages.hpp"
+#include "pollenreel/shift/messages.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -100,6 +101,7 @@
 
 using message =
     std::variant<probe, probe_answer, probe_request, news, sync_request,
-                 feed::push, feed::pull, feed::digest>;
+                 feed::push, feed::pull, feed::digest, share::ask, share::grant,
+                 shift::load_report, shift::load_summary>;
 
 } // namespace pollenreel::peer
--- a/pollenreel/shift/spender.cpp
+++ b/pollenreel/shift/spender.cpp
@@ -8,6 +8,9 @@
 
 // What an answer is taken to be long before any came.
 constexpr double first_answer_bytes = 16 * 1024;
+// How much more than the mean is reserved for an answer. Trades what a cap
+// carries against windows exceeded by answers longer than expected.
+constexpr double answer_margin = 1.02;
 // Weight of the newest answer in the moving average.
 constexpr double newest_weight = 0.05;
 constexpr std::chrono::seconds limit_window{1};
@@ -32,10 +35,31 @@
     return x % share::whole.value < fraction.value;
 }
 
-spender::spender() : m_allowances(std::make_shared<allowances>()) {}
+void add(traffic_report& to, const traffic_report& later) {
+    for (const auto& [p, r] : later) {
+        auto& sum = to[p];
+        sum.started += r.started;
+        sum.bytes += r.bytes;
+        sum.held_back += r.held_back;
+        sum.in_flight = r.in_flight;
+        sum.slots = r.slots;
+    }
+}
+
+void merge(traffic_report& to, const traffic_report& other) {
+    for (const auto& [p, r] : other) {
+        auto& sum = to[p];
+        sum.started += r.started;
+        sum.bytes += r.bytes;
+        sum.held_back += r.held_back;
+        sum.in_flight += r.in_flight;
+        sum.slots += r.slots;
+    }
+}
 
 void spender::set(allowances_ptr a) {
     m_allowances = std::move(a);
+    m_told = true;
     const auto& moves = m_allowances->moves;
     std::erase_if(m_shift_pacers, [&](const auto& p) {
         const bool commanded =
@@ -174,21 +198,24 @@
     }
 }
 
-traffic_report spender::take_report() {
-    for (auto& [p, r] : m_report) {
-        r.slots = r.in_flight * busy_part(p, m_own);
-    }
-    auto taken = m_report;
-    for (auto& [p, r] : m_report) {
+traffic_report take(traffic_report& from) {
+    auto taken = from;
+    for (auto& [p, r] : from) {
         r.started = 0;
         r.bytes = 0;
         r.held_back = 0;
     }
-    std::erase_if(m_report,
-                  [](const auto& r) { return r.second.in_flight == 0; });
+    std::erase_if(from, [](const auto& r) { return r.second.in_flight == 0; });
     return taken;
 }
 
+traffic_report spender::take_report() {
+    for (auto& [p, r] : m_report) {
+        r.slots = r.in_flight * busy_part(p, m_own);
+    }
+    return take(m_report);
+}
+
 void spender::learn_time(const place& p, base::duration took,
                          base::time_point now) {
     auto& t = m_times[p];
@@ -212,7 +239,8 @@
 std::uint64_t spender::expected_answer(const base::service_id& s) const {
     const auto found = m_answer_bytes.find(s);
     return static_cast<std::uint64_t>(
-        found == m_answer_bytes.end() ? first_answer_bytes : found->second);
+        answer_margin *
+        (found == m_answer_bytes.end() ? first_answer_bytes : found->second));
 }
 
 void spender::learn_answer(const base::service_id& s, std::uint64_t bytes) {
--- a/pollenreel/shift/spender.hpp
+++ b/pollenreel/shift/spender.hpp
@@ -55,14 +55,25 @@
     friend bool operator==(const place_report&, const place_report&) = default;
 };
 using traffic_report = std::map<place, place_report>;
+// Adds a later report of the same thread: counts add up, the rest is as of
+// the later one.
+void add(traffic_report& to, const traffic_report& later);
+// Takes the counts out of `from`; what is as of now stays.
+[[nodiscard]] traffic_report take(traffic_report& from);
+// Adds a report of another thread for the same time.
+void merge(traffic_report& to, const traffic_report& other);
 
 class spender {
 public:
-    spender();
-
+    // From the first call on; before it there is nothing to keep to.
     void set(allowances_ptr a);
 
     [[nodiscard]] decision decide(const candidate& c, base::time_point now);
+    // Whether `g`, decided a while ago or for another attempt, may still go.
+    [[nodiscard]] bool may_start(const go& g, base::time_point now) {
+        return !g.crosses || may_cross(g, now);
+    }
+    [[nodiscard]] bool has_allowances() const { return m_told; }
     void started(base::attempt_id attempt, const go& g, base::time_point now);
     // `answer_bytes` is empty when no whole answer came.
     void finished(base::attempt_id attempt,
@@ -96,7 +107,8 @@
     void learn_time(const place& p, base::duration took, base::time_point now);
     void learn_answer(const base::service_id& s, std::uint64_t bytes);
 
-    allowances_ptr m_allowances;
+    allowances_ptr m_allowances = std::make_shared<allowances>();
+    bool m_told = false;
     std::map<base::shift_id, pacer> m_shift_pacers;
     std::map<base::region_id, pacer> m_way_pacers;
     std::map<place, sliding_sum> m_limit_sums;
