Measure membership's cost; hold 2.2 million client blocks in one table

Cause: the size to come needs slopes of the control traffic, and a table of client blocks that fits one process and the store's values.

Change: measures control_cost (virtual time, encoded messages) and control_processor; library client_block (flat sorted table, deltas, shards in protobuf, seeded generator) and its measure client_blocks.

The look-up table does not use the new table yet.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,7 +1,9 @@
 // pollenreel_bench [--list] [NAME...]: runs the named measures, or all the
 // deterministic ones, and prints one JSON object a line. Exit 1 when a value
 // breaks its bound.
+#include "pollenreel/client_block/client_block_benchmark.hpp"
 #include "pollenreel/measure/result.hpp"
+#include "pollenreel/membership/control_cost_benchmark.hpp"
 #include "pollenreel/node/node_benchmark.hpp"
 #include "pollenreel/request/benchmarks.hpp"
 
@@ -36,6 +38,12 @@
          request::measure_short_behind_long},
         {"at_most_once", true, "faults at every step of an attempt",
          request::measure_at_most_once},
+        {"control_cost", true, "bytes and messages of membership a node",
+         membership::measure_control_cost},
+        {"control_processor", false, "processor time and memory of membership",
+         membership::measure_control_processor},
+        {"client_blocks", false, "2.2 million client blocks in one process",
+         client_block::run_client_blocks},
     };
     return all;
 }
