--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -2,10 +2,14 @@
 // deterministic ones, and prints one JSON object a line. Exit 1 when a value
 // breaks its bound.
 #include "pollenreel/client_block/client_block_benchmark.hpp"
+#include "pollenreel/feed/benchmarks.hpp"
 #include "pollenreel/measure/result.hpp"
 #include "pollenreel/membership/control_cost_benchmark.hpp"
+#include "pollenreel/membership/drain_benchmark.hpp"
 #include "pollenreel/node/node_benchmark.hpp"
 #include "pollenreel/request/benchmarks.hpp"
+#include "pollenreel/shift/benchmarks.hpp"
+#include "testing/in_force.hpp"
 
 #include <fmt/format.h>
 
@@ -28,22 +32,32 @@
 
 std::span<const entry> entries() {
     static const std::vector<entry> all = {
+        {"in_force", false, "changes on real daemons, some killed",
+         testing::measure_in_force},
+        {"in_force_virtual", true, "changes on 12 to 1,305 instances",
+         feed::measure_in_force_virtual},
         {"lookup", false, "look-ups on one traffic thread",
          node::measure_lookup},
         {"path_cost", false, "what the system adds to a request",
          node::measure_path_cost},
         {"tail", true, "look-up latency while some targets are slowed",
          request::measure_tail},
+        {"cap", true, "a shift under its cap, with and without faults",
+         shift::measure_cap},
         {"short_behind_long", true, "look-up latency beside long work",
          request::measure_short_behind_long},
         {"at_most_once", true, "faults at every step of an attempt",
          request::measure_at_most_once},
         {"control_cost", true, "bytes and messages of membership a node",
          membership::measure_control_cost},
+        {"drain", true, "how soon leaving entries get no new callers",
+         membership::measure_drain},
         {"control_processor", false, "processor time and memory of membership",
          membership::measure_control_processor},
         {"client_blocks", false, "2.2 million client blocks in one process",
          client_block::run_client_blocks},
+        {"headroom", true, "what a surviving region loses beside cold targets",
+         request::measure_headroom},
     };
     return all;
 }
--- a/pollenreel/lookup/table.hpp
+++ b/pollenreel/lookup/table.hpp
@@ -18,7 +18,7 @@
 
 // How long a caller may keep an answer. Trades look-ups a second against how
 // long a caller may still try an instance that has left.
-constexpr std::chrono::milliseconds answer_time_to_live{2000};
+constexpr std::chrono::milliseconds answer_time_to_live{1500};
 // Most instances that one answer names.
 constexpr std::size_t most_instances = 4;
 
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -27,6 +27,8 @@
 namespace {
 
 constexpr int exit_on_second_signal = 130;
+// How long other instances may go on naming one that has begun to leave.
+constexpr std::chrono::milliseconds announcement_time{1000};
 
 http::server_options server_options(const settings::settings& s) {
     http::server_options o;
@@ -208,7 +210,7 @@
         }
         m_leaving = true;
         handle(control::stop_requested{});
-        m_leave.expires_after(lookup::answer_time_to_live);
+        m_leave.expires_after(lookup::answer_time_to_live + announcement_time);
         m_leave.async_wait([this](const boost::system::error_code&) {
             for (auto* t : m_traffic) {
                 t->stop();
