Authenticate peers by the fleet's CURVE keys; bound connections

Cause: the three peers.curve_* settings were read and not used; a connection was kept to every peer ever spoken to.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,6 +1,7 @@
 // pollenreeld: the daemon that runs on every entry instance.
 #include "pollenreel/node/control_thread.hpp"
 #include "pollenreel/node/traffic_thread.hpp"
+#include "pollenreel/peer/curve.hpp"
 #include "pollenreel/settings/settings.hpp"
 
 #include <fmt/format.h>
@@ -21,6 +22,7 @@
 struct command_line {
     std::string settings_path;
     bool check_only = false;
+    bool make_keys = false;
 };
 
 command_line read_command_line(int argc, char** argv) {
@@ -28,12 +30,18 @@
                            settings::describe_keys(),
                        ' ', POLLENREEL_VERSION);
     const TCLAP::ValueArg<std::string> path(
-        "s", "settings", "Settings file (INI)", true, "", "FILE", cmd);
+        "s", "settings", "Settings file (INI)", false, "", "FILE", cmd);
     const TCLAP::SwitchArg check("", "check-settings",
                                  "Check the settings file and exit", cmd);
     cmd.setExceptionHandling(false); // the exit codes are ours
+    const TCLAP::SwitchArg keys(
+        "", "make-curve-keys", "Print a new pair of peers' keys and exit", cmd);
     cmd.parse(argc, argv);
-    return {path.getValue(), check.getValue()};
+    if (!path.isSet() && !keys.getValue()) {
+        throw TCLAP::CmdLineParseException("Required argument missing",
+                                           "settings");
+    }
+    return {path.getValue(), check.getValue(), keys.getValue()};
 }
 
 // Grows from one start of an instance to the next.
@@ -80,6 +88,17 @@
     return EXIT_SUCCESS;
 }
 
+int print_new_keys() {
+    const auto keys = peer::make_curve_keys();
+    if (!keys) {
+        return EXIT_FAILURE;
+    }
+    fmt::print("curve_public_key = {}\ncurve_secret_key = {}\n"
+               "curve_fleet_public_key = {}\n",
+               keys->public_key, keys->secret_key, keys->fleet_public_key);
+    return EXIT_SUCCESS;
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -87,6 +106,9 @@
     const log::logger starting(clock, "daemon", log::level::info);
     try {
         const auto line = read_command_line(argc, argv);
+        if (line.make_keys) {
+            return print_new_keys();
+        }
         const auto read = settings::read_file(line.settings_path);
         if (!read) {
             starting.error("bad settings", {{"problem", read.error().text()}});
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -37,6 +37,14 @@
     return o;
 }
 
+std::optional<peer::curve_keys> keys_of(const settings::peer_settings& s) {
+    if (s.curve_secret_key.empty()) {
+        return std::nullopt;
+    }
+    return peer::curve_keys{s.curve_public_key, s.curve_secret_key,
+                            s.curve_fleet_public_key};
+}
+
 control::identity identity(const settings::settings& s,
                            std::uint64_t incarnation) {
     return {{s.instance.id, s.instance.failure_domain, s.traffic.listen,
@@ -60,7 +68,7 @@
                       [this](const http::request& r, http::responder answer) {
                           on_call(r, std::move(answer));
                       }),
-          m_peers(m_io, s.peers.listen,
+          m_peers(m_io, s.peers.listen, keys_of(s.peers),
                   [this](peer::message m) {
                       handle(control::peer_received{std::move(m)});
                   }),
--- a/pollenreel/node/metrics_text.cpp
+++ b/pollenreel/node/metrics_text.cpp
@@ -50,6 +50,8 @@
               "Bytes received from peers.", p.bytes_received);
     e.counter("pollenreel_peer_dropped_messages_total",
               "Messages to peers that were dropped.", p.dropped);
+    e.counter("pollenreel_peer_refused_connections_total",
+              "Connections of peers without the fleet's keys.", p.refused);
 }
 
 } // namespace
--- /dev/null
+++ b/pollenreel/peer/internal/gatekeeper.cpp
@@ -0,0 +1,110 @@
+#include "pollenreel/peer/internal/gatekeeper.hpp"
+
+#include <zmq_addon.hpp>
+
+#include <array>
+#include <cstring>
+#include <iterator>
+#include <vector>
+
+namespace pollenreel::peer::internal {
+
+namespace {
+
+constexpr std::size_t key_bytes = 32;
+// Frames of a ZAP request: version, id, domain, address, identity, mechanism,
+// credentials.
+constexpr std::size_t request_frames = 7;
+constexpr std::size_t id_frame = 1;
+constexpr std::size_t mechanism_frame = 5;
+constexpr std::size_t credentials_frame = 6;
+constexpr const char* judge_address = "inproc://zeromq.zap.01";
+constexpr const char* events_address = "inproc://peer-listener-events";
+constexpr int failures = ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
+                         ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL |
+                         ZMQ_EVENT_HANDSHAKE_FAILED_AUTH;
+
+std::string key_of(const std::string& text) {
+    std::array<std::uint8_t, key_bytes> key{};
+    if (::zmq_z85_decode(key.data(), text.c_str()) == nullptr) {
+        throw zmq::error_t();
+    }
+    return {key.begin(), key.end()};
+}
+
+} // namespace
+
+gatekeeper::gatekeeper(boost::asio::io_context& io, zmq::context_t& context,
+                       const std::string& fleet_public_key)
+    : m_fleet_key(key_of(fleet_public_key)),
+      m_judge(context, zmq::socket_type::rep),
+      m_events(context, zmq::socket_type::pair), m_judge_readable(io),
+      m_events_readable(io) {
+    m_judge.set(zmq::sockopt::linger, 0);
+    m_events.set(zmq::sockopt::linger, 0);
+    m_judge.bind(judge_address);
+    m_judge_readable.assign(m_judge.get(zmq::sockopt::fd));
+    wait(m_judge_readable, [this] { judge_all(); });
+}
+
+gatekeeper::~gatekeeper() {
+    m_judge_readable.release();
+    if (m_events_readable.is_open()) {
+        m_events_readable.release();
+    }
+}
+
+void gatekeeper::watch(zmq::socket_t& listener) {
+    if (::zmq_socket_monitor(listener.handle(), events_address, failures) !=
+        0) {
+        throw zmq::error_t();
+    }
+    m_events.connect(events_address);
+    m_events_readable.assign(m_events.get(zmq::sockopt::fd));
+    wait(m_events_readable, [this] { count_failed_handshakes(); });
+}
+
+void gatekeeper::wait(boost::asio::posix::stream_descriptor& on,
+                      std::function<void()> take_all) {
+    take_all(); // the descriptor tells of later arrivals only
+    on.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                  [this, &on, take_all = std::move(take_all)](
+                      const boost::system::error_code& e) mutable {
+                      if (!e) {
+                          wait(on, std::move(take_all));
+                      }
+                  });
+}
+
+void gatekeeper::judge_all() {
+    std::vector<zmq::message_t> request;
+    while (zmq::recv_multipart(m_judge, std::back_inserter(request),
+                               zmq::recv_flags::dontwait)) {
+        const bool known =
+            request.size() == request_frames &&
+            request[mechanism_frame].to_string_view() == "CURVE" &&
+            request[credentials_frame].to_string_view() == m_fleet_key;
+        const std::string id =
+            request.size() > id_frame ? request[id_frame].to_string() : "";
+        const std::array<zmq::const_buffer, 6> answer = {
+            zmq::buffer("1.0", 3),
+            zmq::buffer(id),
+            zmq::buffer(known ? "200" : "400", 3),
+            zmq::buffer("", 0),
+            zmq::buffer("", 0),
+            zmq::buffer("", 0)};
+        (void)zmq::send_multipart(m_judge, answer);
+        request.clear();
+    }
+}
+
+void gatekeeper::count_failed_handshakes() {
+    std::vector<zmq::message_t> event;
+    while (zmq::recv_multipart(m_events, std::back_inserter(event),
+                               zmq::recv_flags::dontwait)) {
+        ++m_refused; // each event asked for is a refusal
+        event.clear();
+    }
+}
+
+} // namespace pollenreel::peer::internal
--- a/pollenreel/peer/transport.cpp
+++ b/pollenreel/peer/transport.cpp
@@ -1,12 +1,15 @@
 #include "pollenreel/peer/transport.hpp"
 
 #include "pollenreel/peer/codec.hpp"
+#include "pollenreel/peer/internal/gatekeeper.hpp"
 
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
 #include <zmq.hpp>
 
+#include <algorithm>
 #include <map>
+#include <optional>
 
 namespace pollenreel::peer {
 
@@ -25,8 +28,9 @@
 class transport::sockets {
 public:
     sockets(boost::asio::io_context& io, base::endpoint listen,
-            received on_message)
-        : m_listen(std::move(listen)), m_on_message(std::move(on_message)),
+            std::optional<curve_keys> keys, received on_message)
+        : m_io(io), m_listen(std::move(listen)), m_keys(std::move(keys)),
+          m_on_message(std::move(on_message)),
           m_receiver(m_context, zmq::socket_type::pull), m_readable(io) {}
     sockets(const sockets&) = delete;
     sockets& operator=(const sockets&) = delete;
@@ -38,6 +42,13 @@
             m_receiver.set(zmq::sockopt::rcvhwm, receive_queue_length);
             m_receiver.set(zmq::sockopt::maxmsgsize,
                            static_cast<std::int64_t>(most_message_bytes));
+            if (m_keys) {
+                m_gatekeeper.emplace(m_io, m_context, m_keys->fleet_public_key);
+                m_gatekeeper->watch(m_receiver);
+                m_receiver.set(zmq::sockopt::curve_server, 1);
+                m_receiver.set(zmq::sockopt::curve_secretkey,
+                               m_keys->secret_key);
+            }
             m_receiver.bind(zmq_address(m_listen));
             m_readable.assign(m_receiver.get(zmq::sockopt::fd));
         } catch (const zmq::error_t& e) {
@@ -69,21 +80,49 @@
         m_counters.bytes_sent += bytes.size();
     }
 
-    [[nodiscard]] const transport_counters& counters() const {
-        return m_counters;
+    [[nodiscard]] transport_counters counters() const {
+        auto c = m_counters;
+        c.refused = m_gatekeeper ? m_gatekeeper->refused() : 0;
+        return c;
     }
 
 private:
+    struct connection {
+        zmq::socket_t socket;
+        std::uint64_t last_use = 0; // counts sends
+    };
+
     zmq::socket_t& sender(const base::endpoint& to) {
         auto found = m_senders.find(to);
         if (found == m_senders.end()) {
-            zmq::socket_t s(m_context, zmq::socket_type::push);
-            s.set(zmq::sockopt::linger, 0);
-            s.set(zmq::sockopt::sndhwm, send_queue_length);
-            s.connect(zmq_address(to));
-            found = m_senders.emplace(to, std::move(s)).first;
+            drop_longest_unused();
+            found = m_senders.emplace(to, connection{connect(to), 0}).first;
+        }
+        found->second.last_use = ++m_uses;
+        return found->second.socket;
+    }
+
+    zmq::socket_t connect(const base::endpoint& to) {
+        zmq::socket_t s(m_context, zmq::socket_type::push);
+        s.set(zmq::sockopt::linger, 0);
+        s.set(zmq::sockopt::sndhwm, send_queue_length);
+        if (m_keys) {
+            s.set(zmq::sockopt::curve_serverkey, m_keys->fleet_public_key);
+            s.set(zmq::sockopt::curve_publickey, m_keys->public_key);
+            s.set(zmq::sockopt::curve_secretkey, m_keys->secret_key);
+        }
+        s.connect(zmq_address(to));
+        return s;
+    }
+
+    void drop_longest_unused() {
+        if (m_senders.size() >= most_connections) {
+            m_senders.erase(std::min_element(m_senders.begin(), m_senders.end(),
+                                             [](const auto& a, const auto& b) {
+                                                 return a.second.last_use <
+                                                        b.second.last_use;
+                                             }));
         }
-        return found->second;
     }
 
     // ZeroMQ's descriptor is edge-triggered: after it fires, everything that
@@ -118,19 +157,24 @@
         m_on_message(std::move(*m));
     }
 
+    boost::asio::io_context& m_io;
     base::endpoint m_listen;
+    std::optional<curve_keys> m_keys;
     received m_on_message;
     zmq::context_t m_context;
+    std::optional<internal::gatekeeper> m_gatekeeper;
     zmq::socket_t m_receiver;
     boost::asio::posix::stream_descriptor m_readable;
-    std::map<base::endpoint, zmq::socket_t> m_senders;
+    std::map<base::endpoint, connection> m_senders;
+    std::uint64_t m_uses = 0;
     transport_counters m_counters;
     bool m_started = false;
 };
 
 transport::transport(boost::asio::io_context& io, const base::endpoint& listen,
-                     received on_message)
-    : m_sockets(std::make_unique<sockets>(io, listen, std::move(on_message))) {}
+                     std::optional<curve_keys> keys, received on_message)
+    : m_sockets(std::make_unique<sockets>(io, listen, std::move(keys),
+                                          std::move(on_message))) {}
 
 transport::~transport() = default;
 
@@ -146,7 +190,7 @@
     m_sockets->stop();
 }
 
-const transport_counters& transport::counters() const {
+transport_counters transport::counters() const {
     return m_sockets->counters();
 }
 
--- a/pollenreel/peer/transport.hpp
+++ b/pollenreel/peer/transport.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "pollenreel/base/endpoint.hpp"
+#include "pollenreel/peer/curve.hpp"
 #include "pollenreel/peer/message.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace pollenreel::peer {
 
@@ -21,15 +23,20 @@
     std::uint64_t bytes_received = 0;
     std::uint64_t dropped = 0;   // peer away or slow
     std::uint64_t malformed = 0; // received, not a message
+    std::uint64_t refused = 0;   // connections without the fleet's keys
 };
 
-// Runs on the io_context's one thread.
+// Connections to peers kept open at most; the one longest unused goes first.
+constexpr std::size_t most_connections = 64;
+
+// Runs on the io_context's one thread. With keys, only peers that hold the
+// fleet's are heard, and all that is sent is encrypted.
 class transport {
 public:
     using received = std::function<void(message)>;
 
     transport(boost::asio::io_context& io, const base::endpoint& listen,
-              received on_message);
+              std::optional<curve_keys> keys, received on_message);
     transport(const transport&) = delete;
     transport& operator=(const transport&) = delete;
     ~transport();
@@ -38,7 +45,7 @@
     [[nodiscard]] base::result<void> start();
     void send(const base::endpoint& to, const message& m);
     void stop();
-    [[nodiscard]] const transport_counters& counters() const;
+    [[nodiscard]] transport_counters counters() const;
 
 private:
     class sockets;
--- a/pollenreel/settings/settings.cpp
+++ b/pollenreel/settings/settings.cpp
@@ -78,6 +78,11 @@
         return fail(error::clash, source,
                     "the three peers.curve_* keys go together");
     }
+    if (s.peers.curve_public_key != s.peers.curve_fleet_public_key) {
+        return fail(error::clash, source,
+                    "peers.curve_public_key must be the fleet's: all "
+                    "instances hold the same pair");
+    }
     return boost::outcome_v2::success();
 }
 
--- a/pollenreel/settings/settings_test.cpp
+++ b/pollenreel/settings/settings_test.cpp
@@ -54,6 +54,13 @@
          replaced(good, "[store]",
                   "curve_public_key = " + std::string(40, 'a') + "\n[store]"),
          error::clash, "go together"},
+        {"a pair that is not the fleet's",
+         replaced(good, "[store]",
+                  "curve_public_key = " + std::string(40, 'a') +
+                      "\ncurve_secret_key = " + std::string(40, 'b') +
+                      "\ncurve_fleet_public_key = " + std::string(40, 'c') +
+                      "\n[store]"),
+         error::clash, "the same pair"},
         {"a line that is not INI", good + "what is this\n", error::bad_value,
          "line"},
         {"a key outside any section", "id = x\n" + good, error::unknown_key,
