--- a/cli/render.cpp
+++ b/cli/render.cpp
@@ -39,8 +39,10 @@
                             text(s, "to"), text(s, "percent"),
                             text(s, "cap_megabits_per_second"),
                             text(s, "over_s"), text(s, "state"));
-    if (const auto* progress = s.as_object().if_contains("progress")) {
-        line += "  " + text(*progress);
+    if (s.as_object().contains("moved_percent")) {
+        line += fmt::format("  {}% moved", text(s, "moved_percent"));
+        const auto held_by = text(s, "held_by");
+        line += held_by == "none" ? "" : ", held by " + held_by;
     }
     return line + "\n";
 }
@@ -75,29 +77,35 @@
     return all;
 }
 
-// Instances in `state`, those that apply the current version only if asked.
-std::string members_in(const json::value& status, std::string_view state,
-                       bool with_current) {
+// Instances in `state`.
+std::string members_in(const json::value& status, std::string_view state) {
     std::vector<std::string> names;
     for (const auto& m : status.at("members").as_array()) {
-        const bool counts = with_current || !m.at("current").as_bool();
-        if (text(m, "state") == state && counts) {
+        if (text(m, "state") == state) {
             names.push_back(text(m, "instance"));
         }
     }
     return fmt::format("{}", fmt::join(names, ", "));
 }
 
+std::string confirmed_text(const json::value& status) {
+    const auto& ago = status.at("confirmed_ms_ago");
+    return ago.is_null()
+               ? "not confirmed as the newest yet"
+               : fmt::format("confirmed as the newest {} ms ago", text(ago));
+}
+
 std::string render(const language::status&, const json::value& a) {
-    std::string all =
-        fmt::format("version {} by {}: {}\n{}\n\n", text(a, "version"),
-                    text(a, "author"), text(a, "summary"), render_in_force(a));
-    text_table t({"INSTANCE", "DOMAIN", "STATE", "APPLIED", "SINCE"});
+    const std::string all =
+        fmt::format("version {} by {}: {}\n{}\n{}\n\n", text(a, "version"),
+                    text(a, "author"), text(a, "summary"), render_in_force(a),
+                    confirmed_text(a));
+    text_table t({"INSTANCE", "DOMAIN", "STATE", "FOR", "APPLIED"});
     t.add(
-        {text(a, "instance") + " (asked)", "", "live", text(a, "version"), ""});
+        {text(a, "instance") + " (asked)", "", "live", "", text(a, "version")});
     for (const auto& m : a.at("members").as_array()) {
         t.add({text(m, "instance"), text(m, "failure_domain"), text(m, "state"),
-               text(m, "applied"), text(m, "since_ms") + " ms"});
+               text(m, "since_ms") + " ms", text(m, "applied")});
     }
     const auto commanded = render_commanded(a.at("commanded"));
     return all + t.text() + (commanded.empty() ? "" : "\n" + commanded);
@@ -227,14 +235,22 @@
 }
 
 std::string render_in_force(const json::value& status) {
-    auto all = status.at("in_force").as_bool()
-                   ? std::string("in force on every live instance")
-                   : "not in force yet on " + members_in(status, "live", false);
+    std::string all = "in force on every live instance";
+    if (!status.at("in_force").as_bool()) {
+        all = fmt::format("not in force yet on {} instances",
+                          text(status, "behind"));
+        if (const auto missing = joined(status.at("missing"));
+            !missing.empty()) {
+            all += ": " + missing;
+        }
+        if (const auto unheard = joined(status.at("unheard"));
+            !unheard.empty()) {
+            all += "; nothing is known of regions " + unheard;
+        }
+    }
     for (const auto* state : {"suspect", "dead"}) {
-        const auto members = members_in(status, state, true);
-        if (!members.empty()) {
-            all += fmt::format("; {} and not named to callers: {}", state,
-                               members);
+        if (const auto names = members_in(status, state); !names.empty()) {
+            all += fmt::format("; {}: {}", state, names);
         }
     }
     return all;
--- a/pollenreel/control/core.cpp
+++ b/pollenreel/control/core.cpp
@@ -15,20 +15,14 @@
     return feed::checksum(self.instance.str()) ^ self.incarnation;
 }
 
-base::region_id region_of(const declarations::document& d,
-                          const base::failure_domain_id& domain) {
-    for (const auto& r : d.regions) {
-        if (std::find(r.failure_domains.begin(), r.failure_domains.end(),
-                      domain) != r.failure_domains.end()) {
-            return r.id;
-        }
-    }
-    return base::region_id(domain.str()); // nothing is declared yet
-}
-
-feed::member as_feed_member(const declarations::document& d,
-                            const peer::member& m) {
-    return {m.instance, region_of(d, m.failure_domain), m.peer_address};
+// By the failure domain itself as long as its region is not declared.
+feed::member as_feed_member(const routing::snapshot& s, const peer::member& m) {
+    const auto region = s.region_of.find(m.failure_domain);
+    return {m.instance,
+            region == s.region_of.end()
+                ? base::region_id(m.failure_domain.str())
+                : region->second,
+            m.peer_address};
 }
 
 routing::instance as_instance(const peer::member& m) {
@@ -69,7 +63,7 @@
 core::core(identity who, base::time_point now)
     : m_who(std::move(who)), m_committer(m_who.configuration_key),
       m_membership(m_who.self, m_who.seeds, ~seed_of(m_who.self), now),
-      m_feed(as_feed_member({}, m_who.self), m_who.seeds,
+      m_feed(as_feed_member(*m_snapshot, m_who.self), m_who.seeds,
              m_who.configuration_key, seed_of(m_who.self)) {}
 
 effects core::handle(const event& e, base::time_point now) {
@@ -144,7 +138,7 @@
                     explain(e.call, q, m_configuration, *m_snapshot));
             },
             [&](const language::list_shifts&) {
-                out.emplace_back(shifts_answer(e.call, m_configuration));
+                out.emplace_back(shifts_answer(e.call, m_configuration, {}));
             },
             [&](const language::history&) {
                 out.emplace_back(history_answer(e.call, m_configuration));
@@ -242,7 +236,7 @@
     m_told_generation = generation;
     std::vector<feed::member> live;
     for (const auto& m : m_membership.usable_members()) {
-        live.push_back(as_feed_member(m_configuration.declared, m));
+        live.push_back(as_feed_member(*m_snapshot, m));
     }
     if (live != m_live) {
         m_live = live;
