--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,8 +1,11 @@
 // pollenreel_bench [--list] [NAME...]: runs the named measures, or all the
 // deterministic ones, and prints one JSON object a line. Exit 1 when a value
 // breaks its bound.
+#include "pollenreel/client_block/client_block_benchmark.hpp"
 #include "pollenreel/feed/benchmarks.hpp"
 #include "pollenreel/measure/result.hpp"
+#include "pollenreel/membership/control_cost_benchmark.hpp"
+#include "pollenreel/membership/drain_benchmark.hpp"
 #include "pollenreel/node/node_benchmark.hpp"
 #include "pollenreel/request/benchmarks.hpp"
 #include "pollenreel/shift/benchmarks.hpp"
@@ -47,6 +50,14 @@
          request::measure_short_behind_long},
         {"at_most_once", true, "faults at every step of an attempt",
          request::measure_at_most_once},
+        {"control_cost", true, "bytes and messages of membership a node",
+         membership::measure_control_cost},
+        {"drain", true, "how soon leaving entries get no new callers",
+         membership::measure_drain},
+        {"control_processor", false, "processor time and memory of membership",
+         membership::measure_control_processor},
+        {"client_blocks", false, "2.2 million client blocks in one process",
+         client_block::run_client_blocks},
         {"headroom", true, "what a surviving region loses beside cold targets",
          request::measure_headroom},
     };
--- /dev/null
+++ b/pollenreel/membership/drain_benchmark.cpp
@@ -0,0 +1,62 @@
+#include "pollenreel/membership/drain_benchmark.hpp"
+
+#include "pollenreel/lookup/table.hpp"
+#include "testing/membership_fleet.hpp"
+
+namespace pollenreel::membership {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t seeds = 5;
+constexpr double most_seconds = 2;
+constexpr std::size_t first_leaver = 4;
+constexpr std::size_t second_leaver = 9;
+
+// Kavango's fleet; `how` takes one instance out. Seconds until none names it.
+template <class How>
+double unnamed_after(std::uint64_t seed, How how) {
+    testing::membership_fleet f({.size = 12, .seed = seed, .joined = true});
+    f.run_for(std::chrono::milliseconds(2000 + 17 * seed));
+    how(f, first_leaver);
+    how(f, second_leaver);
+    const auto took = f.run_until(30s, [&] {
+        return f.namers(first_leaver) + f.namers(second_leaver) == 0;
+    });
+    return std::chrono::duration<double>(took).count();
+}
+
+measure::result row(const char* workload, double value, double baseline,
+                    std::uint64_t seed) {
+    measure::result r;
+    r.measure = "drain";
+    r.workload = workload;
+    r.value = value;
+    r.unit = "s";
+    r.bound = most_seconds;
+    r.baseline = baseline;
+    r.seed = seed;
+    return r;
+}
+
+} // namespace
+
+measure::results measure_drain() {
+    measure::results out;
+    const double kept =
+        std::chrono::duration<double>(lookup::answer_time_to_live).count();
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const auto leave =
+            unnamed_after(seed, [](auto& f, std::size_t i) { f.leave(i); });
+        const auto death =
+            unnamed_after(seed, [](auto& f, std::size_t i) { f.kill(i); });
+        out.push_back(row("2 of 12 entries leave: last answer that names one",
+                          leave, death, seed));
+        out.push_back(row("2 of 12 entries leave: last caller with an answer",
+                          leave + kept, death + kept, seed));
+    }
+    return out;
+}
+
+} // namespace pollenreel::membership
--- a/pollenreel/node/control_thread.cpp
+++ b/pollenreel/node/control_thread.cpp
@@ -27,6 +27,8 @@
 namespace {
 
 constexpr int exit_on_second_signal = 130;
+// How long other instances may go on naming one that has begun to leave.
+constexpr std::chrono::milliseconds announcement_time{1000};
 
 http::server_options server_options(const settings::settings& s) {
     http::server_options o;
@@ -35,6 +37,14 @@
     return o;
 }
 
+std::optional<peer::curve_keys> keys_of(const settings::peer_settings& s) {
+    if (s.curve_secret_key.empty()) {
+        return std::nullopt;
+    }
+    return peer::curve_keys{s.curve_public_key, s.curve_secret_key,
+                            s.curve_fleet_public_key};
+}
+
 control::identity identity(const settings::settings& s,
                            std::uint64_t incarnation) {
     return {{s.instance.id, s.instance.failure_domain, s.traffic.listen,
@@ -59,7 +69,7 @@
                       [this](const http::request& r, http::responder answer) {
                           on_call(r, std::move(answer));
                       }),
-          m_peers(m_io, s.peers.listen,
+          m_peers(m_io, s.peers.listen, keys_of(s.peers),
                   [this](peer::message m) {
                       handle(control::peer_received{std::move(m)});
                   }),
@@ -220,7 +230,7 @@
         }
         m_leaving = true;
         handle(control::stop_requested{});
-        m_leave.expires_after(lookup::answer_time_to_live);
+        m_leave.expires_after(lookup::answer_time_to_live + announcement_time);
         m_leave.async_wait([this](const boost::system::error_code&) {
             for (auto* t : m_traffic) {
                 t->stop();
