Give spilled work fractions of a slot

Cause: after a region failed, 75-81% of its look-ups and orders were lost though the surviving regions used no more than 0.75 of their slots. Each entry's part of the room was rounded down to whole slots, in eight entries; far requests hold a target's slot for a tenth of their time, so the rounding took most of what they could have used.

Change: the allowance is a number of slots with a fraction.

Ruled out: the split by regions that may fail too; it slows the rise, not where it ends.

--- a/pollenreel/shift/allowances.hpp
+++ b/pollenreel/shift/allowances.hpp
@@ -51,7 +51,7 @@
     std::map<place, usable_rate> limits;
     // Slots that may be held at another region's targets on behalf of a
     // region whose own targets take no work.
-    std::map<place, std::uint32_t> spill;
+    std::map<place, double> spill;
 
     friend bool operator==(const allowances&, const allowances&) = default;
 };
--- a/pollenreel/shift/coordinator_steps.cpp
+++ b/pollenreel/shift/coordinator_steps.cpp
@@ -116,8 +116,7 @@
                  share::service_limit(l.service, l.region), now);
     }
     for (const auto& [p, r] : m_rooms) {
-        const auto most = std::floor(r.allowed(now) / m_options.threads);
-        a.spill[p] = static_cast<std::uint32_t>(most);
+        a.spill[p] = r.allowed(now) / m_options.threads;
     }
     return a;
 }
--- a/pollenreel/shift/spender.cpp
+++ b/pollenreel/shift/spender.cpp
@@ -18,10 +18,9 @@
 constexpr std::uint32_t spill_step_percent = 10;
 constexpr std::uint32_t most_spill_steps = 8;
 
-std::uint32_t spill_for(std::uint32_t all, std::uint32_t priority) {
+double spill_for(double all, std::uint32_t priority) {
     const auto steps = std::min(priority, most_spill_steps);
-    return static_cast<std::uint32_t>(std::uint64_t{all} *
-                                      (100 - steps * spill_step_percent) / 100);
+    return all * (100 - steps * spill_step_percent) / 100;
 }
 
 } // namespace
@@ -106,7 +105,7 @@
         const place p{c.service, region};
         const auto allowed = m_allowances->spill.find(p);
         const auto most = allowed == m_allowances->spill.end()
-                              ? 0
+                              ? 0.0
                               : spill_for(allowed->second, c.priority);
         const go there{c.service, region, std::nullopt, true, k};
         if (m_report[p].in_flight * busy_part(p, c.own) >= most) {
