Fill a surviving region further with spilled work

Cause: spilled work stopped at 0.9 of the slots; the fullest second of any region was at 0.86.

Change: 0.95.

--- a/pollenreel/shift/headroom.hpp
+++ b/pollenreel/shift/headroom.hpp
@@ -21,7 +21,7 @@
 namespace pollenreel::shift {
 
 // Part of the slots that spilled work may fill a region up to.
-constexpr double most_spill_fill = 0.9;
+constexpr double most_spill_fill = 0.95;
 // Without a report for this long, nothing is added.
 constexpr std::chrono::seconds oldest_spill_report{5};
 // How long own targets must take work again before work returns to them, and
