Prove a shift end to end; show its progress readably

Cause: no test drove a shift through real daemons, stand-ins and the store, and the operators' tool printed its progress as 5E1%.

Change: a fleet of two regions whose targets' own counts show that traffic moved; the tool prints numbers as people read them.

--- a/cli/render.cpp
+++ b/cli/render.cpp
@@ -17,7 +17,11 @@
 
 namespace json = boost::json;
 
+// Boost.JSON writes every double in scientific form.
 std::string text(const json::value& v) {
+    if (v.is_double()) {
+        return fmt::format("{:.4g}", v.get_double());
+    }
     return v.is_string() ? std::string(v.get_string()) : json::serialize(v);
 }
 
@@ -42,7 +46,11 @@
     if (s.as_object().contains("moved_percent")) {
         line += fmt::format("  {}% moved", text(s, "moved_percent"));
         const auto held_by = text(s, "held_by");
-        line += held_by == "none" ? "" : ", held by " + held_by;
+        if (held_by == "done") {
+            line += ", done";
+        } else if (held_by != "none") {
+            line += ", held by " + held_by;
+        }
     }
     return line + "\n";
 }
--- a/cli/render_test.cpp
+++ b/cli/render_test.cpp
@@ -74,6 +74,30 @@
           "refused: w\n");
 }
 
+TEST_CASE("a shift shows how far it is and what holds it") {
+    struct row {
+        const char* moved;
+        const char* held_by;
+        const char* shown;
+    };
+    const row rows[] = {
+        {"0", "no-holder", "0% moved, held by no-holder"},
+        {"20.0887", "none", "20.09% moved\n"},
+        {"5E1", "done", "50% moved, done"},
+    };
+    const language::command shifts = language::query(language::list_shifts{});
+    for (const auto& r : rows) {
+        CAPTURE(r.shown);
+        const auto answer = boost::json::parse(
+            R"({"version":2,"shifts":[{"id":"s","service":"catalogue",)"
+            R"("from":"khomas","to":"erongo","percent":50,)"
+            R"("cap_megabits_per_second":400,"over_s":5,"state":"active",)"
+            R"("moved_percent":)" +
+            std::string(r.moved) + R"(,"held_by":")" + r.held_by + R"("}]})");
+        CHECK(cli::render(shifts, answer).find(r.shown) != std::string::npos);
+    }
+}
+
 TEST_CASE("status says who applies a version, who does not, who is silent") {
     struct row {
         const char* status;
--- a/testing/fleet.cpp
+++ b/testing/fleet.cpp
@@ -35,6 +35,10 @@
     return list;
 }
 
+json::object region(const std::string& name) {
+    return {{"id", name}, {"failure_domains", json::array{name + "-a"}}};
+}
+
 std::filesystem::path new_folder() {
     auto name =
         (std::filesystem::temp_directory_path() / "pollenreel-XXXXXX").string();
@@ -171,27 +175,40 @@
     return text.str();
 }
 
+std::string fleet::domain_of(std::size_t i) const {
+    return m_options.two_regions && i % 2 == 1 ? "erongo-a" : "khomas-a";
+}
+
 void fleet::write_settings(std::size_t i) const {
     std::ofstream file(m_folder / (std::to_string(i) + ".ini"));
-    file << fmt::format("[instance]\nid = khomas-a-{}\n"
-                        "failure_domain = khomas-a\n"
+    file << fmt::format("[instance]\nid = {}-{}\n"
+                        "failure_domain = {}\n"
                         "[traffic]\nlisten = {}\n"
                         "[operators]\nlisten = {}\ntoken = {}\n"
                         "[peers]\nlisten = {}\nseeds = {}, {}\n"
                         "[store]\nendpoints = {}\n",
-                        i, m_callers[i].str(), m_operators[i].str(), token,
-                        m_peers[i].str(), m_peers.front().str(),
-                        m_peers.back().str(), m_platform.str());
+                        domain_of(i), i, domain_of(i), m_callers[i].str(),
+                        m_operators[i].str(), token, m_peers[i].str(),
+                        m_peers.front().str(), m_peers.back().str(),
+                        m_platform.str());
 }
 
 std::string fleet::declarations() const {
     json::array list;
     for (std::size_t i = 0; i < m_targets.size(); ++i) {
         list.emplace_back(json::object{{"id", "cat-" + std::to_string(i)},
-                                       {"failure_domain", "khomas-a"},
+                                       {"failure_domain", domain_of(i)},
                                        {"address", m_targets[i].str()},
                                        {"slots", 6}});
     }
+    json::array regions{region("khomas")};
+    json::array links;
+    if (m_options.two_regions) {
+        regions.emplace_back(region("erongo"));
+        links.emplace_back(json::object{{"first", "khomas"},
+                                        {"second", "erongo"},
+                                        {"megabits_per_second", 4000}});
+    }
     const json::array kinds{
         json::object{{"id", "browse"},
                      {"methods", json::array{"GET", "HEAD"}},
@@ -205,10 +222,8 @@
                      {"priority", 0}}};
     return json::serialize(json::object{
         {"fleet_instances", m_options.instances},
-        {"regions",
-         json::array{json::object{
-             {"id", "khomas"}, {"failure_domains", json::array{"khomas-a"}}}}},
-        {"links", json::array{}},
+        {"regions", regions},
+        {"links", links},
         {"client_blocks", json::array{}},
         {"services",
          json::array{json::object{{"id", service},
--- a/testing/fleet.hpp
+++ b/testing/fleet.hpp
@@ -23,6 +23,8 @@
     std::size_t instances = 3;
     std::size_t targets = 3;
     std::chrono::milliseconds service_time{5};
+    // Two regions, khomas and erongo, take turns among instances and targets.
+    bool two_regions = false;
 };
 
 // One process.
@@ -73,6 +75,7 @@
     static constexpr const char* token = "a-token-for-tests";
 
 private:
+    [[nodiscard]] std::string domain_of(std::size_t i) const;
     void write_settings(std::size_t i) const;
     [[nodiscard]] std::string declarations() const;
     [[nodiscard]] bool in_force() const;
--- a/testing/process_test.cpp
+++ b/testing/process_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/json/parse.hpp>
 #include <doctest/doctest.h>
 #include <zmq.hpp>
 
@@ -19,7 +20,6 @@
 using namespace pollenreel;
 using namespace std::chrono_literals;
 using testing::raw_exchange;
-namespace asio = boost::asio;
 
 http::request get(std::string path) {
     http::request r;
@@ -42,6 +42,11 @@
     return http::call_and_wait(f.operators()[0], r, 2s).value().body;
 }
 
+int count(const base::endpoint& target, const char* what) {
+    const auto answer = http::call_and_wait(target, get("/standin/counts"), 2s);
+    return boost::json::parse(answer.value().body).at(what).to_number<int>();
+}
+
 int run_daemon(const std::vector<std::string>& words) {
     testing::process p(POLLENREELD, words, "/dev/null");
     return p.wait();
@@ -95,6 +100,31 @@
     CHECK(a.phantom == 0);
 }
 
+TEST_CASE("a shift moves traffic to the other region") {
+    testing::fleet f({4, 4, 2ms, true});
+    REQUIRE(f.start());
+    CHECK(f.command(0, "shift catalogue khomas -> erongo 50% cap "
+                       "400Mbit/s over 1s")
+              .status == 200);
+    const auto ran_in_erongo = [&] {
+        return count(f.targets()[1], "ran") + count(f.targets()[3], "ran");
+    };
+    int sent = 0;
+    for (; sent < 20'000 && ran_in_erongo() == 0; ++sent) {
+        const auto answer = http::call_and_wait(
+            f.callers()[0], get("/svc/catalogue/" + std::to_string(sent)), 5s);
+        REQUIRE(answer.has_value());
+        CHECK(answer.value().status == 200);
+    }
+    CAPTURE(f.command(0, "shifts").body);
+    CHECK(ran_in_erongo() > 0);
+    CHECK(count(f.targets()[0], "ran") + count(f.targets()[2], "ran") +
+              ran_in_erongo() >=
+          sent);
+    CHECK(f.command(0, "shifts").body.find("moved_percent") !=
+          std::string::npos);
+}
+
 TEST_CASE("a planned stop cuts no request") {
     testing::fleet f({2, 2, 400ms});
     REQUIRE(f.start());
