--- a/testing/process_test.cpp
+++ b/testing/process_test.cpp
@@ -4,9 +4,6 @@
 #include "testing/fleet.hpp"
 #include "testing/raw_exchange.hpp"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/json/parse.hpp>
 #include <doctest/doctest.h>
 #include <zmq.hpp>
