Leave a region whose targets are all out of reach

Cause: a region counted as failed only when its targets were drained. With targets that had died, an instance went on choosing them and its callers got connect-failed for as long as the region was away; retries stay in the region since caps are kept for each request.

Change: the choice of region passes over targets whose last attempt failed, but for the attempt that finds out whether they are back.

A request whose own attempt found the region out of reach is still refused not-run; the caller's next one goes abroad.

--- a/pollenreel/request/choose_region.cpp
+++ b/pollenreel/request/choose_region.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 shift::candidate candidate_of(const classified& c, std::uint64_t request_bytes,
-                              const routing::snapshot& s) {
+                              const routing::snapshot& s,
+                              const target_book& book, base::time_point now) {
     shift::candidate one;
     one.service = c.service;
     one.request = c.id;
@@ -20,7 +21,7 @@
         return one;
     }
     for (const auto& t : service->second.targets) {
-        if (!t.accepts_new_work) {
+        if (!t.accepts_new_work || !book.reachable(t.id, now)) {
             continue;
         }
         if (t.region == s.region) {
@@ -41,12 +42,11 @@
 
 } // namespace
 
-filtered<shift::go> choose_region(const classified& c,
-                                  std::uint64_t request_bytes,
-                                  const routing::snapshot& s,
-                                  shift::spender& spender,
-                                  base::time_point now) {
-    const auto one = candidate_of(c, request_bytes, s);
+filtered<shift::go>
+choose_region(const classified& c, std::uint64_t request_bytes,
+              const routing::snapshot& s, const target_book& book,
+              shift::spender& spender, base::time_point now) {
+    const auto one = candidate_of(c, request_bytes, s, book, now);
     if (!one.own_takes_work && one.others.empty()) {
         return refusal{outcome::not_run, reason::no_target};
     }
--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -88,7 +88,8 @@
         return refuse(e.id, *r, now, out);
     }
     const auto& request = std::get<classified>(a);
-    auto way = choose_region(request, e.bytes, *m_snapshot, m_spender, now);
+    auto way =
+        choose_region(request, e.bytes, *m_snapshot, m_book, m_spender, now);
     if (const auto* r = std::get_if<refusal>(&way)) {
         return refuse(e.id, *r, now, out);
     }
--- a/pollenreel/request/core_test.cpp
+++ b/pollenreel/request/core_test.cpp
@@ -89,3 +89,33 @@
     CHECK(c.handle(request::attempt_connected{attempt}, start + 501ms).empty());
     CHECK(!c.next_wakeup());
 }
+
+TEST_CASE("requests leave a region whose targets all are out of reach") {
+    auto s = std::make_shared<routing::snapshot>(*two_targets());
+    s->region = base::region_id("khomas");
+    auto& targets = s->services.at(base::service_id("catalogue")).targets;
+    targets[0].region = s->region;
+    targets[1].region = base::region_id("erongo");
+    request::core c({.seed = 1});
+    (void)c.handle(request::snapshot_changed{s}, start);
+    const auto ask = [&](std::uint64_t id, base::time_point now) {
+        const auto out =
+            c.handle(request::arrival{base::request_id(id),
+                                      base::service_id("catalogue"),
+                                      "POST",
+                                      {},
+                                      {}},
+                     now);
+        return std::get<request::open_attempt>(out.at(0));
+    };
+    const auto near = ask(1, start);
+    CHECK(near.to.target == base::target_id("cat-1"));
+    (void)c.handle(request::attempt_connect_failed{near.attempt}, start);
+    CHECK(ask(2, start).to.target == base::target_id("cat-2"));
+    const auto probe = ask(3, start + 1min);
+    CHECK(probe.to.target == base::target_id("cat-1"));
+    (void)c.handle(request::attempt_connected{probe.attempt}, start + 1min);
+    (void)c.handle(request::attempt_answered{probe.attempt, {200, false, true}},
+                   start + 1min);
+    CHECK(ask(4, start + 1min).to.target == base::target_id("cat-1"));
+}
--- a/pollenreel/request/target_book.cpp
+++ b/pollenreel/request/target_book.cpp
@@ -147,6 +147,12 @@
            (now < e->full_until || slowness(t, now) >= hot_ratio);
 }
 
+bool target_book::reachable(const base::target_id& t,
+                            base::time_point now) const {
+    const auto* e = find(t);
+    return e == nullptr || !e->down || wants_probe(t, now);
+}
+
 bool target_book::wants_probe(const base::target_id& t,
                               base::time_point now) const {
     const auto* e = find(t);
--- a/pollenreel/request/target_book.hpp
+++ b/pollenreel/request/target_book.hpp
@@ -49,6 +49,10 @@
     // still is.
     [[nodiscard]] bool wants_probe(const base::target_id& t,
                                    base::time_point now) const;
+    // False once the last attempt failed, until one that finds out more is
+    // due.
+    [[nodiscard]] bool reachable(const base::target_id& t,
+                                 base::time_point now) const;
     // Mean latency as a multiple of the usual; for choosing among hot ones.
     [[nodiscard]] double slowness(const base::target_id& t,
                                   base::time_point now) const;
