Assign requests to regions by object; pace what moves between them

Ruled out: a cap on spill alone (a region with two of 24 targets needs three quarters of its work abroad from the start).

Change: region_share assigns each object home or abroad by a hash, starts from the regions' slots and moves by a bounded step; placement weighs the work that takes a slot more than the wait, and knows which objects a target has handled. A session of the HTTP server is kept while an answer is owed: the process test found that it was not.

--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -3,6 +3,8 @@
 #include "pollenreel/dispatch/admission.hpp"
 #include "pollenreel/dispatch/cold_rate.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace pollenreel::dispatch {
@@ -27,6 +29,8 @@
 // time is not sent.
 constexpr double least_time_part = 0.5;
 constexpr unsigned first_server_error = 500;
+// The other side has to cost less than this part of the assigned one.
+constexpr double worth_crossing = 0.8;
 
 constexpr refusal not_run(reason r) {
     return {outcome::not_run, r};
@@ -87,6 +91,7 @@
 void core::on(const limits_changed& e, base::time_point, effects&) {
     m_options.limits = e.limits;
     m_budgets.clear();
+    m_shares.clear();
 }
 
 std::optional<reason> core::unroutable(const arrival& a, base::time_point now,
@@ -128,6 +133,7 @@
     p.object = route->sticky && !e.object.empty()
                    ? e.object
                    : std::to_string(m_random.below(UINT64_MAX));
+    p.object_hash = XXH64(p.object.data(), p.object.size(), 0);
     p.arrived = now;
     p.expires =
         now + std::min(route->timeout, e.time_left.value_or(longest_wait));
@@ -194,20 +200,52 @@
             continue;
         }
         const auto& state = m_states[t->id];
-        all.push_back({t, &state, t->region == m_options.region,
+        all.push_back({t, &state, t->region != m_options.region,
                        cold_rate_used(*t, state, now)});
     }
     return all;
 }
 
-std::optional<placement> core::find_place(pending& p, base::time_point now) {
+region_share& core::share_of(const base::service_id& service) {
+    const auto found = m_shares.find(service);
+    if (found != m_shares.end()) {
+        return found->second;
+    }
+    double home = 0;
+    double all = 0;
+    for (const auto* t : m_by_service[service]) {
+        all += t->slots;
+        home += t->region == m_options.region ? t->slots : 0;
+    }
+    return m_shares
+        .try_emplace(service, m_options.limits.most_shifted,
+                     share_abroad(home, all, m_options.regions))
+        .first->second;
+}
+
+core::chosen_place core::find_place(pending& p, base::time_point now) {
     const auto candidates = candidates_of(p, now);
-    return place(candidates, {p.object, &profile_of(p), p.route->target_latency,
-                              now, p.tried});
+    const auto best =
+        place(candidates, {p.object, p.object_hash, &profile_of(p),
+                           p.route->target_latency, now, p.tried});
+    auto& share = share_of(p.service);
+    const bool abroad = share.assigned_abroad(p.object);
+    const auto& assigned = abroad ? best.abroad : best.home;
+    const auto& other = abroad ? best.home : best.abroad;
+    if (!assigned) {
+        return {other, best.candidates};
+    }
+    const bool better =
+        other && std::chrono::duration<double>(other->cost) <
+                     std::chrono::duration<double>(assigned->cost) *
+                         worth_crossing;
+    return {share.cross(abroad, better, now) ? other : assigned,
+            best.candidates};
 }
 
 void core::start_first(pending& p, base::time_point now, effects& out) {
-    const auto at = find_place(p, now);
+    const auto to = find_place(p, now);
+    const auto& at = to.at;
     if (!at) {
         return refuse_request(p.id, not_run(reason::no_target), {}, retry_soon,
                               now, out);
@@ -219,7 +257,7 @@
         return refuse_request(p.id, not_run(reason::overloaded), at,
                               no->retry_after, now, out);
     }
-    start_attempt(p, *at, attempt_cause::first, now, out);
+    start_attempt(p, to, attempt_cause::first, now, out);
     arm_hedge(p, now);
 }
 
@@ -244,7 +282,8 @@
         !m_view->routes) {
         return false;
     }
-    const auto at = find_place(p, now);
+    const auto to = find_place(p, now);
+    const auto& at = to.at;
     if (!at ||
         (cause == attempt_cause::hedge && at->wait > base::duration::zero())) {
         return false;
@@ -259,12 +298,14 @@
         !budget_of(p.service).spend(m_view->instances.size(), now)) {
         return false;
     }
-    start_attempt(p, *at, cause, now, out);
+    start_attempt(p, to, cause, now, out);
     return true;
 }
 
-void core::start_attempt(pending& p, const placement& at, attempt_cause cause,
-                         base::time_point now, effects& out) {
+void core::start_attempt(pending& p, const chosen_place& to,
+                         attempt_cause cause, base::time_point now,
+                         effects& out) {
+    const auto& at = *to.at;
     m_last_attempt = m_last_attempt.next();
     const auto id = m_last_attempt;
     auto& state = m_states[at.target->id];
@@ -286,6 +327,8 @@
         at.target->id,
         cause,
         at,
+        to.candidates,
+        share_of(p.service).abroad(),
         state.load_age(now),
         state.in_flight(),
         budget_of(p.service).left(m_view->instances.size(), now),
@@ -294,7 +337,7 @@
                   p.id,
                   at.target->id,
                   now,
-                  at.rank,
+                  at.kind,
                   at.wait > base::duration::zero(),
                   state.slowdown(now)};
     state.started(now);
@@ -372,7 +415,10 @@
     if (result == attempt_result::answered && !o.queued) {
         const auto scaled = std::chrono::duration_cast<base::duration>(
             std::chrono::duration<double>(now - o.since) / o.slowdown);
-        profile_of(p).add(o.rank, scaled);
+        profile_of(p).add(o.kind, scaled);
+    }
+    if (result == attempt_result::answered) {
+        m_states[target].objects().add(p.object_hash, now);
     }
     if (!forwarded) {
         after_failure(e.attempt, result, now, out);
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -9,6 +9,7 @@
 
 #include "pollenreel/base/random.hpp"
 #include "pollenreel/dispatch/placement.hpp"
+#include "pollenreel/dispatch/region_share.hpp"
 #include "pollenreel/dispatch/repeat_budget.hpp"
 #include "pollenreel/dispatch/target_state.hpp"
 #include "pollenreel/dispatch/work_profile.hpp"
@@ -36,12 +37,16 @@
     // `cold_slack` more, within a second.
     double cold_factor = 1;
     double cold_slack = 0;
+    // Part of a region's requests that may change the region in which they
+    // run from one window of two seconds to the next.
+    double most_shifted = 1;
 };
 
 struct options {
     std::uint64_t seed = 0;
     base::instance_id self;
     base::region_id region;
+    std::size_t regions = 1; // of the fleet
     joint_limits limits;
 };
 
@@ -83,6 +88,8 @@
     base::target_id target;
     attempt_cause cause = attempt_cause::first;
     placement chosen;
+    std::size_t candidates = 0; // that were compared
+    double share_abroad = 0;    // of the service's requests
     std::optional<base::duration> load_age;
     std::uint32_t in_flight = 0; // of this instance, at the target
     double repeats_left = 0;     // in the service's budget
@@ -158,6 +165,7 @@
         const routes::route* route = nullptr;
         base::service_id service;
         std::string object;
+        std::uint64_t object_hash = 0;
         base::time_point arrived;
         base::time_point expires; // the caller, or the route, waits no longer
         std::vector<base::attempt_id> open;
@@ -172,7 +180,7 @@
         base::request_id request;
         base::target_id target;
         base::time_point since;
-        placement_rank rank = placement_rank::home_other;
+        placement_class kind;
         bool queued = false; // its target had no free slot when it was chosen
         double slowdown = 1;
     };
@@ -203,16 +211,22 @@
     [[nodiscard]] bool cold_rate_used(const fleet::target& t,
                                       const target_state& s,
                                       base::time_point now) const;
-    [[nodiscard]] std::optional<placement> find_place(pending& p,
-                                                      base::time_point now);
+    region_share& share_of(const base::service_id& service);
+    // The better of the two sides that the region's share allows.
+    struct chosen_place {
+        std::optional<placement> at; // empty: no target can be used now
+        std::size_t candidates = 0;
+    };
+    [[nodiscard]] chosen_place find_place(pending& p, base::time_point now);
     void start_first(pending& p, base::time_point now, effects& out);
     // Starts another attempt if the rules and the budget allow it.
     bool try_again(pending& p, attempt_cause cause, base::time_point now,
                    effects& out);
     void forward(base::attempt_id id, pending& p, base::time_point now,
                  effects& out);
-    void start_attempt(pending& p, const placement& at, attempt_cause cause,
-                       base::time_point now, effects& out);
+    void start_attempt(pending& p, const chosen_place& to,
+                       attempt_cause cause, base::time_point now,
+                       effects& out);
     void arm_hedge(pending& p, base::time_point now);
     void after_failure(base::attempt_id id, attempt_result result,
                        base::time_point now, effects& out);
@@ -245,6 +259,7 @@
         m_misplaced;
     std::map<work_key, work_profile> m_profiles;
     std::map<base::service_id, repeat_budget> m_budgets;
+    std::map<base::service_id, region_share> m_shares;
 };
 
 } // namespace pollenreel::dispatch
--- /dev/null
+++ b/pollenreel/dispatch/region_share.cpp
@@ -0,0 +1,77 @@
+#include "pollenreel/dispatch/region_share.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace pollenreel::dispatch {
+
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+// Windows that the users compare are this long.
+constexpr seconds shift_window{2.0};
+// How often the share is adapted.
+constexpr seconds interval{0.5};
+// Part of the allowed change that the share uses; the rest is for requests
+// that cross beyond it and for chance.
+constexpr double adapt_part = 0.4;
+constexpr double cross_part = 0.25;
+// The share moves by this part of what would be better elsewhere.
+constexpr double gain = 0.5;
+
+} // namespace
+
+double share_abroad(double home_slots, double all_slots, std::size_t regions) {
+    if (all_slots <= 0 || regions < 2) {
+        return 0;
+    }
+    return std::clamp(
+        1 - home_slots / all_slots * static_cast<double>(regions), 0.0, 1.0);
+}
+
+bool region_share::assigned_abroad(std::string_view object) const {
+    constexpr std::uint64_t seed = 0x5eed; // unlike that of the targets' order
+    const auto hash = XXH64(object.data(), object.size(), seed);
+    return std::ldexp(static_cast<double>(hash), -64) < m_abroad;
+}
+
+bool region_share::cross(bool abroad, bool better_elsewhere,
+                         base::time_point now) {
+    adapt(now);
+    ++m_requests;
+    if (!better_elsewhere) {
+        return false;
+    }
+    ++(abroad ? m_better_home : m_better_abroad);
+    if (m_crossed + 1 > m_requests * m_most_shifted * cross_part) {
+        return false;
+    }
+    ++m_crossed;
+    return true;
+}
+
+void region_share::adapt(base::time_point now) {
+    if (now - m_since < interval) {
+        return;
+    }
+    if (m_requests > 0) {
+        const double wanted =
+            (static_cast<double>(m_better_abroad) - m_better_home) /
+            m_requests;
+        const double most = m_most_shifted * adapt_part *
+                            (interval / shift_window);
+        m_abroad =
+            std::clamp(m_abroad + std::clamp(wanted * gain, -most, most), 0.0,
+                       1.0);
+    }
+    m_since = now;
+    m_requests = 0;
+    m_better_abroad = 0;
+    m_better_home = 0;
+    m_crossed = 0;
+}
+
+} // namespace pollenreel::dispatch
--- a/pollenreel/dispatch/target_state.hpp
+++ b/pollenreel/dispatch/target_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "pollenreel/base/clock.hpp"
+#include "pollenreel/dispatch/object_memory.hpp"
 #include "pollenreel/request/attempt.hpp"
 
 #include <chrono>
@@ -45,6 +46,9 @@
     // says otherwise.
     [[nodiscard]] bool returned_lately(base::time_point now) const;
 
+    [[nodiscard]] object_memory& objects() { return m_objects; }
+    [[nodiscard]] const object_memory& objects() const { return m_objects; }
+
     // Requests sent within the last second, for the cold rate.
     [[nodiscard]] std::size_t sent_last_second(base::time_point now) const;
     [[nodiscard]] std::uint32_t in_flight() const { return m_in_flight; }
@@ -64,6 +68,7 @@
     base::time_point m_ejected_until{};
     base::time_point m_returned_at{};
     base::time_point m_last_answer{};
+    object_memory m_objects;
     std::deque<base::time_point> m_began; // open attempts, oldest first
     std::deque<base::time_point> m_sent;  // within about a second
 };
--- a/pollenreel/dispatch/work_profile.cpp
+++ b/pollenreel/dispatch/work_profile.cpp
@@ -9,9 +9,13 @@
 using seconds = std::chrono::duration<double>;
 
 // First guesses, as a part of the target latency: an object is more likely in
-// the cache of the targets that come first in its order.
-constexpr std::array<double, placement_ranks> first_guess = {0.4, 0.5, 0.7, 0.9,
-                                                             0.6, 0.8, 1.0};
+// the cache of the targets that come first in its order, and surely in that
+// of one that has handled it lately.
+constexpr std::array<double, placement_ranks> guess_unseen = {0.7, 0.9, 1.0,
+                                                              1.1};
+constexpr double guess_seen = 0.4;
+// Longer way to another region, as a part of the target latency.
+constexpr double guess_abroad = 0.15;
 // Samples that a first guess weighs as much as.
 constexpr double guess_weight = 2;
 // A mean follows about this many recent samples.
@@ -24,20 +28,34 @@
 
 std::string_view to_string(placement_rank r) {
     constexpr std::array<std::string_view, placement_ranks> names = {
-        "home_first", "home_second", "home_third", "home_other",
-        "away_first", "away_second", "away_other"};
+        "first", "second", "third", "other"};
     return names.at(static_cast<std::size_t>(r));
 }
 
+std::size_t work_profile::index(placement_class c) {
+    return static_cast<std::size_t>(c.rank) +
+           placement_ranks * ((c.abroad ? 1U : 0U) + (c.seen ? 2U : 0U));
+}
+
 work_profile::work_profile(std::chrono::milliseconds target_latency) {
-    for (std::size_t i = 0; i < placement_ranks; ++i) {
-        m_means.at(i).value = seconds(target_latency) * first_guess.at(i);
+    for (std::size_t rank = 0; rank < placement_ranks; ++rank) {
+        for (const bool abroad : {false, true}) {
+            for (const bool seen : {false, true}) {
+                const auto guess =
+                    (seen ? guess_seen : guess_unseen.at(rank)) +
+                    (abroad ? guess_abroad : 0);
+                m_means
+                    .at(index({static_cast<placement_rank>(rank), abroad,
+                               seen}))
+                    .value = seconds(target_latency) * guess;
+            }
+        }
     }
 }
 
-void work_profile::add(placement_rank r, base::duration took) {
+void work_profile::add(placement_class c, base::duration took) {
     m_all.add(took);
-    auto& m = m_means.at(static_cast<std::size_t>(r));
+    auto& m = m_means.at(index(c));
     const auto sample = std::min(seconds(took), m.value * most_ratio);
     ++m.samples;
     const auto weight =
@@ -45,9 +63,9 @@
     m.value += (sample - m.value) * weight;
 }
 
-base::duration work_profile::expected(placement_rank r) const {
+base::duration work_profile::expected(placement_class c) const {
     return std::chrono::duration_cast<base::duration>(
-        m_means.at(static_cast<std::size_t>(r)).value);
+        m_means.at(index(c)).value);
 }
 
 } // namespace pollenreel::dispatch
--- a/pollenreel/dispatch/work_profile.hpp
+++ b/pollenreel/dispatch/work_profile.hpp
@@ -3,8 +3,8 @@
 // request's object in its cache.
 //
 //   work_profile p(400ms);
-//   p.add(placement_rank::home_first, 170ms);
-//   p.expected(placement_rank::home_second);
+//   p.add({placement_rank::first}, 170ms);
+//   p.expected({placement_rank::second});
 #pragma once
 
 #include "pollenreel/base/clock.hpp"
@@ -17,20 +17,19 @@
 
 namespace pollenreel::dispatch {
 
-// Where a target stands in the order of an object's targets: the instance's
-// own region first, within it by rendezvous hashing.
-enum class placement_rank : std::uint8_t {
-    home_first,
-    home_second,
-    home_third,
-    home_other,
-    away_first,
-    away_second,
-    away_other,
-};
-constexpr std::size_t placement_ranks = 7;
+// Where a target stands in the order of an object's targets on its side: in
+// the instance's own region, or abroad.
+enum class placement_rank : std::uint8_t { first, second, third, other };
+constexpr std::size_t placement_ranks = 4;
 [[nodiscard]] std::string_view to_string(placement_rank r);
 
+// What the time of an attempt depends on.
+struct placement_class {
+    placement_rank rank = placement_rank::other;
+    bool abroad = false;
+    bool seen = false; // the target has handled the object lately, for us
+};
+
 class work_profile {
 public:
     // `target_latency`: answers after it are late; guides the first guesses.
@@ -38,8 +37,8 @@
 
     // An attempt that met no queue at its target took this long, scaled to a
     // target at its usual speed.
-    void add(placement_rank r, base::duration took);
-    [[nodiscard]] base::duration expected(placement_rank r) const;
+    void add(placement_class c, base::duration took);
+    [[nodiscard]] base::duration expected(placement_class c) const;
     // Quantile of all attempts; empty until some were added.
     [[nodiscard]] std::optional<base::duration> quantile(double q) const {
         return m_all.quantile(q);
@@ -50,7 +49,10 @@
         std::chrono::duration<double> value{};
         std::uint32_t samples = 0;
     };
-    std::array<mean, placement_ranks> m_means;
+    static constexpr std::size_t classes = placement_ranks * 4;
+    static std::size_t index(placement_class c);
+
+    std::array<mean, classes> m_means;
     request::latency_histogram m_all;
 };
 
--- a/pollenreel/entry/settings.cpp
+++ b/pollenreel/entry/settings.cpp
@@ -138,6 +138,12 @@
         [](settings& s, text v) {
             return store_real(s.limits.cold_slack, v, 0, 100'000);
         }},
+    row{"limits.most_shifted", "0-1", "0.1",
+        "part of a region's requests that may change the region in which they "
+        "run within two seconds",
+        [](settings& s, text v) {
+            return store_real(s.limits.most_shifted, v, 0, 1);
+        }},
     row{"limits.max_callers", "16-1000000", "2000",
         "most connections of callers",
         [](settings& s, text v) {
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -14,6 +14,7 @@
 
 #include <optional>
 #include <random>
+#include <set>
 #include <thread>
 
 namespace pollenreel::entry {
@@ -65,7 +66,11 @@
 }
 
 dispatch::options core_options(const settings& s) {
-    return {std::random_device{}(), s.id, s.region, s.limits};
+    std::set<base::region_id> regions;
+    for (const auto& [domain, region] : s.regions) {
+        regions.insert(region);
+    }
+    return {std::random_device{}(), s.id, s.region, regions.size(), s.limits};
 }
 
 } // namespace
--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -55,23 +55,19 @@
 
 class session::slot : public responder::waiting {
 public:
-    slot(std::weak_ptr<session> to, bool head_only, bool stays_open)
+    slot(std::shared_ptr<session> to, bool head_only, bool stays_open)
         : head(head_only), keep_alive(stays_open), m_session(std::move(to)) {}
 
     void answer(response r) override {
-        if (const auto to = m_session.lock()) {
-            to->answer(*this, std::move(r));
-        }
+        m_session->answer(*this, std::move(r));
     }
     void abort(std::string bytes) override {
-        if (const auto to = m_session.lock()) {
-            to->abort(std::move(bytes));
-        }
+        m_session->abort(std::move(bytes));
     }
     void watch(std::function<void()> notify) override {
         gone = std::move(notify);
-        if (const auto to = m_session.lock(); to && !to->m_reading) {
-            to->watch_for_close();
+        if (!m_session->m_reading) {
+            m_session->watch_for_close();
         }
     }
 
@@ -81,7 +77,7 @@
     std::function<void()> gone;
 
 private:
-    std::weak_ptr<session> m_session;
+    std::shared_ptr<session> m_session; // kept while an answer is owed
 };
 
 session::session(tcp::socket socket, owner o)
@@ -221,7 +217,7 @@
     m_parser.reset();
     m_keep_alive = message.keep_alive();
     auto owed = std::make_shared<slot>(
-        weak_from_this(), message.method() == bhttp::verb::head, m_keep_alive);
+        shared_from_this(), message.method() == bhttp::verb::head, m_keep_alive);
     m_owed.push_back(owed);
     expect(phase::busy);
     const auto self = shared_from_this();
@@ -249,7 +245,7 @@
     m_keep_alive = false;
     m_refused = true;
     expect(phase::busy);
-    m_owed.push_back(std::make_shared<slot>(weak_from_this(), false, false));
+    m_owed.push_back(std::make_shared<slot>(shared_from_this(), false, false));
     answer(*m_owed.back(),
            {status_of(e), m_owner.options.refusal_headers, e.message() + "\n"});
 }
@@ -381,6 +377,7 @@
     }
     m_closed = true;
     m_overdue_at.reset();
+    m_owed.clear();
     beast::error_code ignored;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     m_socket.close(ignored);
