Let work wait where its object is cached; pace the watch by its bounds

Cause: at the worst load a short queue moved requests to targets that did not have their object, where they took three to four times the slot time; queues grew and moved more.

Change: each place further back in an object's order costs a target latency. The watch's interval follows from the bounds on departures and configurations.

--- a/pollenreel/dispatch/placement.cpp
+++ b/pollenreel/dispatch/placement.cpp
@@ -14,9 +14,11 @@
 // keeps a slot from others, most of all where it is done on an object that
 // the target has not cached.
 constexpr double work_weight = 1.6;
-// Cost of each place further back in an object's order, as a part of the
-// target latency: keeps to the order among targets that are as good.
-constexpr double order_cost = 0.02;
+// Cost of each place further back in an object's order, in target latencies.
+// An object that is worked on in one more place displaces others from a cache
+// there, and costs the longer work of a first time: in a queue it is better
+// to wait where the object is.
+constexpr double order_cost = 1.0;
 // Cost of an attempt at a target that fails or sheds every request, in target
 // latencies.
 constexpr double failure_cost = 3;
--- a/pollenreel/entry/settings.cpp
+++ b/pollenreel/entry/settings.cpp
@@ -8,6 +8,7 @@
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 
+#include <algorithm>
 #include <array>
 #include <vector>
 
@@ -104,11 +105,15 @@
         [](settings& s, text v) {
             return store_duration(s.call_timeout, v, 50ms, 10s);
         }},
-    row{"store.watch_interval", "0ms-5s", "1250ms",
-        "least time between two returns of a watch; longer costs fewer calls "
-        "and delays departures, evacuations and configurations by as much",
+    row{"store.departure_bound", "100ms-600s", "2500ms",
+        "a target that leaves gets no new work after this",
         [](settings& s, text v) {
-            return store_duration(s.watch_interval, v, 0ms, 5s);
+            return store_duration(s.departure_bound, v, 100ms, 600s);
+        }},
+    row{"store.configuration_bound", "100ms-600s", "2500ms",
+        "a configuration is in use after this",
+        [](settings& s, text v) {
+            return store_duration(s.configuration_bound, v, 100ms, 600s);
         }},
 };
 
@@ -176,6 +181,11 @@
     return all;
 }
 
+// Part of the shorter bound that may pass between two returns of the watch;
+// the rest is for the call, its way and one lost packet. A longer interval
+// costs fewer calls.
+constexpr int watch_interval_percent = 70;
+
 base::failure clash(const std::string& source, std::string detail) {
     return {make_error_code(pollenreel::settings::error::clash),
             source + ": " + std::move(detail)};
@@ -192,6 +202,9 @@
         return clash(source, "instance.failure_domain is not in "
                              "instance.region by fleet.failure_domains");
     }
+    read.watch_interval =
+        std::min(read.departure_bound, read.configuration_bound) *
+        watch_interval_percent / 100;
     return read;
 }
 
--- a/pollenreel/entry/settings.hpp
+++ b/pollenreel/entry/settings.hpp
@@ -34,6 +34,9 @@
     base::endpoint store;
     std::string key_prefix;
     std::chrono::milliseconds call_timeout{};
+    std::chrono::milliseconds departure_bound{};
+    std::chrono::milliseconds configuration_bound{};
+    // Least time between two returns of a watch; follows from the bounds.
     std::chrono::milliseconds watch_interval{};
     // [limits]
     dispatch::joint_limits limits;
