Tell a request's story from logs: pollenreel explain

Cause: lines of plain requests are sampled, so the choice of target of a request that failed later was missing; and nothing put the lines of many instances in order.

Change: a choice whose line was held back is kept until its request ends, and written first if it ends badly; 'pollenreel explain REQUEST-ID FILE...' tells one request's events in time order.

--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -1,5 +1,6 @@
 // pollenreel: the operators' tool.
 #include "cli/burn_report.hpp"
+#include "cli/explain.hpp"
 #include "cli/options.hpp"
 #include "cli/render.hpp"
 #include "cli/wait_in_force.hpp"
@@ -11,6 +12,7 @@
 #include <tclap/ArgException.h>
 
 #include <cstdio>
+#include <string_view>
 
 namespace {
 
@@ -121,6 +123,10 @@
 
 int main(int argc, char** argv) {
     try {
+        // Reads files only: needs no instance and no token.
+        if (argc > 1 && std::string_view(argv[1]) == "explain") {
+            return static_cast<int>(cli::run_explain(argc - 1, argv + 1));
+        }
         return static_cast<int>(run(cli::read_options(argc, argv)));
     } catch (const TCLAP::ArgException& e) {
         fmt::print(stderr, "{} {}\n", e.error(), e.argId());
--- a/cli/options.cpp
+++ b/cli/options.cpp
@@ -20,7 +20,8 @@
     "DOMAIN | shifts | history | report burn | drain PLACE | undrain PLACE | "
     "shift SERVICE REGION -> REGION SHARE cap BANDWIDTH over DURATION | pause, "
     "resume, reverse or abort shift ID | limit SERVICE in REGION RATE | "
-    "unlimit SERVICE in REGION | plan FILE | apply FILE. PLACE is target "
+    "unlimit SERVICE in REGION | plan FILE | apply FILE | explain REQUEST-ID "
+    "LOGFILE... (see 'explain --help'). PLACE is target "
     "NAME, domain NAME or instance NAME. Quote '->'. ";
 
 std::string first_line(const std::string& text) {
--- a/pollenreel/entry/request_log.cpp
+++ b/pollenreel/entry/request_log.cpp
@@ -19,46 +19,69 @@
 
 } // namespace
 
-void request_log::chosen(const std::string& request,
-                         const dispatch::open_attempt& e, const fleet::view& v,
-                         base::time_point now) {
-    const auto& r = e.record;
-    auto& limit =
-        r.cause == dispatch::attempt_cause::first ? m_plain : m_trouble;
-    if (!limit.allow(now)) {
-        return;
+void request_log::chosen(const request_name& r, const dispatch::open_attempt& e,
+                         const fleet::view& v, base::time_point now) {
+    held_choice c{e.open.attempt, e.record, v.routes->source().version,
+                  v.confirmed_at, now};
+    if (e.record.cause != dispatch::attempt_cause::first) {
+        if (begin_trouble(r, now)) {
+            write_choice(r, c, now);
+        }
+    } else if (m_plain.allow(now)) {
+        write_choice(r, c, now);
+    } else {
+        m_held.insert_or_assign(r.id, std::move(c));
     }
+}
+
+bool request_log::begin_trouble(const request_name& r, base::time_point now) {
+    const auto held = m_held.find(r.id);
+    if (held != m_held.end()) {
+        const auto c = std::move(held->second);
+        m_held.erase(held);
+        if (m_trouble.allow(now)) {
+            write_choice(r, c, now);
+        }
+    }
+    return m_trouble.allow(now);
+}
+
+void request_log::write_choice(const request_name& r, const held_choice& c,
+                               base::time_point now) {
+    const auto& p = c.record.chosen;
     m_log.info("target_chosen",
-               {{"request", request},
-                {"attempt", e.open.attempt.value()},
-                {"cause", dispatch::to_string(r.cause)},
-                {"route", r.route},
-                {"service", r.service.str()},
-                {"target", r.target.str()},
-                {"rank", dispatch::to_string(r.chosen.kind.rank)},
-                {"abroad", r.chosen.kind.abroad},
-                {"seen", r.chosen.kind.seen},
-                {"share_abroad", rounded(r.share_abroad)},
-                {"candidates", r.candidates},
-                {"occupancy", rounded(r.chosen.occupancy)},
-                {"in_flight", r.in_flight},
-                {"load_age_ms", r.load_age ? rounded(ms(*r.load_age)) : -1},
-                {"wait_ms", rounded(ms(r.chosen.wait))},
-                {"expected_ms", rounded(ms(r.chosen.expected))},
-                {"time_left_ms", rounded(ms(r.time_left))},
-                {"repeats_left", rounded(r.repeats_left)},
-                {"config", v.routes->source().version.value()},
-                {"view_age_ms", rounded(ms(now - v.confirmed_at))}});
+               {{"request", r.caller_id},
+                {"attempt", c.attempt.value()},
+                {"ago_ms", rounded(ms(now - c.at))},
+                {"cause", dispatch::to_string(c.record.cause)},
+                {"route", c.record.route},
+                {"service", c.record.service.str()},
+                {"target", c.record.target.str()},
+                {"rank", dispatch::to_string(p.kind.rank)},
+                {"abroad", p.kind.abroad},
+                {"seen", p.kind.seen},
+                {"share_abroad", rounded(c.record.share_abroad)},
+                {"candidates", c.record.candidates},
+                {"occupancy", rounded(p.occupancy)},
+                {"in_flight", c.record.in_flight},
+                {"load_age_ms",
+                 c.record.load_age ? rounded(ms(*c.record.load_age)) : -1},
+                {"wait_ms", rounded(ms(p.wait))},
+                {"expected_ms", rounded(ms(p.expected))},
+                {"time_left_ms", rounded(ms(c.record.time_left))},
+                {"repeats_left", rounded(c.record.repeats_left)},
+                {"config", c.config.value()},
+                {"view_age_ms", rounded(ms(c.at - c.confirmed_at))}});
 }
 
-void request_log::failed(const std::string& request,
+void request_log::failed(const request_name& r,
                          const dispatch::attempt_failed& e,
                          base::time_point now) {
-    if (!m_trouble.allow(now)) {
+    if (!begin_trouble(r, now)) {
         return;
     }
     m_log.info("attempt_failed",
-               {{"request", request},
+               {{"request", r.caller_id},
                 {"attempt", e.attempt.value()},
                 {"target", e.target.str()},
                 {"reason", request::to_string(e.failure.reason)},
@@ -66,28 +89,31 @@
                 {"took_ms", rounded(ms(e.took))}});
 }
 
-void request_log::answered(const std::string& request, base::attempt_id attempt,
+void request_log::answered(const request_name& r, base::attempt_id attempt,
                            unsigned status, base::duration took, bool late,
                            base::time_point now) {
-    auto& limit = late || status >= 500 ? m_trouble : m_plain;
-    if (!limit.allow(now)) {
+    constexpr unsigned first_server_error = 500;
+    const bool trouble = late || status >= first_server_error;
+    const bool room = trouble ? begin_trouble(r, now) : m_plain.allow(now);
+    m_held.erase(r.id);
+    if (!room) {
         return;
     }
-    m_log.info("request_answered", {{"request", request},
+    m_log.info("request_answered", {{"request", r.caller_id},
                                     {"attempt", attempt.value()},
                                     {"status", status},
                                     {"late", late},
                                     {"took_ms", rounded(ms(took))}});
 }
 
-void request_log::refused(const std::string& request, const dispatch::refuse& e,
+void request_log::refused(const request_name& r, const dispatch::refuse& e,
                           const fleet::view* v, base::time_point now) {
-    if (!m_trouble.allow(now)) {
+    if (!begin_trouble(r, now)) {
         return;
     }
     m_log.info(
         "request_refused",
-        {{"request", request},
+        {{"request", r.caller_id},
          {"route", e.route},
          {"reason", request::to_string(e.refusal.reason)},
          {"outcome", request::to_string(e.refusal.outcome)},
@@ -103,11 +129,11 @@
           v != nullptr ? rounded(ms(now - v->confirmed_at)) : -1}});
 }
 
-void request_log::caller_left(const std::string& request, base::duration waited,
+void request_log::caller_left(const request_name& r, base::duration waited,
                               base::time_point now) {
-    if (m_trouble.allow(now)) {
-        m_log.info("caller_left",
-                   {{"request", request}, {"waited_ms", rounded(ms(waited))}});
+    if (begin_trouble(r, now)) {
+        m_log.info("caller_left", {{"request", r.caller_id},
+                                   {"waited_ms", rounded(ms(waited))}});
     }
 }
 
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -187,7 +187,7 @@
                 return;
             }
             const auto now = m_clock.now();
-            m_requests.caller_left(found->second.caller_id,
+            m_requests.caller_left({id, found->second.caller_id},
                                    now - found->second.arrived, now);
             m_waiting.erase(found);
             handle(dispatch::caller_gone{id});
@@ -255,8 +255,9 @@
     void run(const dispatch::open_attempt& e) {
         m_request_of[e.open.attempt] = {e.open.request, e.record.target,
                                         e.record.service};
-        m_requests.chosen(m_waiting.at(e.open.request).caller_id, e, *m_view,
-                          m_clock.now());
+        m_requests.chosen(
+            {e.open.request, m_waiting.at(e.open.request).caller_id}, e,
+            *m_view, m_clock.now());
         m_targets.open(e.open);
     }
 
@@ -275,7 +276,8 @@
     }
 
     void run(const dispatch::attempt_failed& e) {
-        m_requests.failed(m_waiting.at(e.request).caller_id, e, m_clock.now());
+        m_requests.failed({e.request, m_waiting.at(e.request).caller_id}, e,
+                          m_clock.now());
         m_request_of.erase(e.attempt);
     }
 
@@ -286,8 +288,8 @@
         const auto& attempt = m_request_of.at(e.attempt);
         const auto took = now - w.arrived;
         const bool late = m_core.last_was_late();
-        m_requests.answered(w.caller_id, e.attempt, answer.status, took, late,
-                            now);
+        m_requests.answered({e.request, w.caller_id}, e.attempt, answer.status,
+                            took, late, now);
         m_metrics.answered(attempt.service, answer.status, took, !late);
         m_request_of.erase(e.attempt);
         reply(e.request, std::move(answer));
@@ -296,7 +298,7 @@
     void run(const dispatch::refuse& e) {
         const auto& w = m_waiting.at(e.request);
         const auto now = m_clock.now();
-        m_requests.refused(w.caller_id, e, m_view.get(), now);
+        m_requests.refused({e.request, w.caller_id}, e, m_view.get(), now);
         m_metrics.refused(e, now - w.arrived);
         reply(e.request, m_protocol.refusal(e));
     }
