Refuse at once what cannot be answered in time; write numbers plainly

Numbers in log lines were written as 2.4329E2.

Change: admission and repeats share one rule, half of the expected time must be left; doubles are written with fmt; unknown values are null.

--- a/cli/explain.cpp
+++ b/cli/explain.cpp
@@ -28,8 +28,11 @@
 
 std::string value(const json::object& o, std::string_view name) {
     const auto* v = o.if_contains(name);
-    if (v == nullptr) {
-        return "?";
+    if (v == nullptr || v->is_null()) {
+        return "unknown";
+    }
+    if (v->is_double()) {
+        return fmt::format("{}", v->get_double());
     }
     if (const auto* s = v->if_string()) {
         return s->empty() ? "none" : std::string(*s);
@@ -71,14 +74,19 @@
 }
 
 std::string refused(const json::object& o) {
-    return fmt::format(
-        "the instance answered itself after {} ms and {} attempts: {}, {}; "
-        "retry after {} ms; best target {} with {} requests, expected {} ms; "
-        "{}",
+    auto text = fmt::format(
+        "the instance answered itself after {} ms and {} attempts: {}, {}",
         value(o, "waited_ms"), value(o, "attempts"), value(o, "reason"),
-        value(o, "outcome"), value(o, "retry_after_ms"),
-        value(o, "best_target"), value(o, "best_occupancy"),
-        value(o, "best_expected_ms"), ages(o));
+        value(o, "outcome"));
+    if (value(o, "retry_after_ms") != "unknown") {
+        text += fmt::format("; retry after {} ms", value(o, "retry_after_ms"));
+    }
+    if (value(o, "best_target") != "unknown") {
+        text += fmt::format("; best target {} with {} requests, expected {} ms",
+                            value(o, "best_target"), value(o, "best_occupancy"),
+                            value(o, "best_expected_ms"));
+    }
+    return text + "; " + ages(o);
 }
 
 std::string left(const json::object& o) {
@@ -121,7 +129,8 @@
             auto o = read_line(line);
             if (!o) {
                 told.unreadable += line.empty() ? 0 : 1;
-            } else if (value(*o, "request") == request) {
+            } else if (o->contains("request") &&
+                       value(*o, "request") == request) {
                 auto time = value(*o, "time");
                 events.push_back({std::move(time), file.name, std::move(*o)});
             }
--- a/pollenreel/dispatch/admission.hpp
+++ b/pollenreel/dispatch/admission.hpp
@@ -1,5 +1,6 @@
 // Decides at once whether a request is worth sending, or is refused as not
-// run with the time after which room is expected.
+// run with the time after which room is expected. A request for which a slot
+// is free is refused only if its caller will have left long before the answer.
 //
 // Answers the load pattern of more work than all slots can do: what would
 // only be answered late makes the work behind it late too.
@@ -27,6 +28,11 @@
     std::chrono::milliseconds retry_after{};
 };
 
+// Whether an answer expected after `expected` may still reach its caller, who
+// waits for `time_left`: expectations are means, half of the work is shorter.
+[[nodiscard]] bool worth_sending(base::duration expected,
+                                 base::duration time_left);
+
 [[nodiscard]] std::variant<admitted, rejected> admit(const placement& p,
                                                      const admission_query& q);
 
--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -25,9 +25,6 @@
 // Retry-After where nothing tells when there will be room: the time in which
 // a failed target is replaced by another or a configuration arrives.
 constexpr milliseconds retry_soon{250};
-// A repeat or hedge that can't be answered within this part of the expected
-// time is not sent.
-constexpr double least_time_part = 0.5;
 constexpr unsigned first_server_error = 500;
 // The other side has to cost less than this part of the assigned one.
 constexpr double worth_crossing = 0.8;
@@ -288,9 +285,7 @@
         (cause == attempt_cause::hedge && at->wait > base::duration::zero())) {
         return false;
     }
-    const auto least = std::chrono::duration_cast<base::duration>(
-        std::chrono::duration<double>(at->expected) * least_time_part);
-    if (p.expires - now < least) {
+    if (!worth_sending(at->expected, p.expires - now)) {
         return false;
     }
     // What was never sent reached no target: it is no repeat.
--- a/pollenreel/dispatch/dispatch_test.cpp
+++ b/pollenreel/dispatch/dispatch_test.cpp
@@ -194,6 +194,8 @@
         {"a short queue", 100ms, 200ms, 3000ms, 2, true},
         {"a long queue", 900ms, 200ms, 3000ms, 2, false},
         {"a long queue for a higher rank", 700ms, 200ms, 3000ms, 0, true},
+        {"a free slot, but the caller will have left", 0ms, 300ms, 20ms, 0,
+         false},
         {"a queue beyond the deadline", 300ms, 200ms, 400ms, 0, false},
     };
     for (const auto& r : rows) {
--- a/pollenreel/entry/request_log.cpp
+++ b/pollenreel/entry/request_log.cpp
@@ -17,6 +17,11 @@
            hundredths;
 }
 
+// Null where there is no value.
+boost::json::value optional_ms(const std::optional<base::duration>& d) {
+    return d ? boost::json::value(rounded(ms(*d))) : boost::json::value();
+}
+
 } // namespace
 
 void request_log::chosen(const request_name& r, const dispatch::open_attempt& e,
@@ -119,14 +124,19 @@
          {"outcome", request::to_string(e.refusal.outcome)},
          {"attempts", e.attempts},
          {"waited_ms", rounded(ms(e.waited))},
-         {"retry_after_ms", e.retry_after ? e.retry_after->count() : -1},
-         {"best_target", e.best ? e.best->target->id.str() : std::string()},
-         {"best_occupancy", e.best ? rounded(e.best->occupancy) : -1},
-         {"best_expected_ms", e.best ? rounded(ms(e.best->expected)) : -1},
+         {"retry_after_ms", optional_ms(e.retry_after)},
+         {"best_target", e.best ? boost::json::value(e.best->target->id.str())
+                                : boost::json::value()},
+         {"best_occupancy", e.best
+                                ? boost::json::value(rounded(e.best->occupancy))
+                                : boost::json::value()},
+         {"best_expected_ms",
+          optional_ms(e.best ? std::optional(e.best->expected) : std::nullopt)},
          {"config",
           v != nullptr && v->routes ? v->routes->source().version.value() : 0},
          {"view_age_ms",
-          v != nullptr ? rounded(ms(now - v->confirmed_at)) : -1}});
+          optional_ms(v != nullptr ? std::optional(now - v->confirmed_at)
+                                   : std::nullopt)}});
 }
 
 void request_log::caller_left(const request_name& r, base::duration waited,
--- a/pollenreel/log/logger.cpp
+++ b/pollenreel/log/logger.cpp
@@ -1,6 +1,5 @@
 #include "pollenreel/log/logger.hpp"
 
-#include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -23,6 +22,12 @@
                        fmt::gmtime(system_clock::to_time_t(whole)), millis);
 }
 
+// JSON, with numbers as people write them.
+std::string text_of(const boost::json::value& v) {
+    return v.is_double() ? fmt::format("{}", v.get_double())
+                         : boost::json::serialize(v);
+}
+
 } // namespace
 
 base::result<level> parse_level(std::string_view text) {
@@ -64,15 +69,16 @@
     if (l < m_lowest) {
         return;
     }
-    boost::json::object line;
-    line["time"] = timestamp(m_clock->wall_now());
-    line["level"] = level_names.at(static_cast<std::size_t>(l));
-    line["component"] = m_component;
-    line["event"] = event;
+    auto text =
+        fmt::format(R"({{"time":"{}","level":"{}","component":{},"event":{})",
+                    timestamp(m_clock->wall_now()),
+                    level_names.at(static_cast<std::size_t>(l)),
+                    boost::json::serialize(boost::json::value(m_component)),
+                    boost::json::serialize(boost::json::value(event)));
     for (const auto& [name, value] : f) {
-        line[name] = value;
+        text += fmt::format(R"(,"{}":{})", name, text_of(value));
     }
-    const auto text = boost::json::serialize(line) + "\n";
+    text += "}\n";
     if (m_to != nullptr) {
         return m_to->write(text);
     }
