--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -150,8 +150,13 @@
     }
 
     void publish_if_changed() {
-        if (m_beliefs.complete() && !m_follower.listing() &&
-            std::exchange(m_changed, false)) {
+        if (!m_beliefs.complete() || m_follower.listing()) {
+            return;
+        }
+        // A view also tells when the store last answered.
+        const bool confirmed = m_beliefs.contact_at() > m_published_contact;
+        if (std::exchange(m_changed, false) || confirmed) {
+            m_published_contact = m_beliefs.contact_at();
             m_traffic.publish(m_beliefs.compile());
         }
     }
@@ -275,6 +280,7 @@
     base::time_point m_settings_checked{};
     std::uint64_t m_reported_drops = 0;
     bool m_changed = false;
+    base::time_point m_published_contact{};
     bool m_store_reached = true;
     std::optional<base::time_point> m_stop_at;
 };
--- a/pollenreel/fleet/beliefs.hpp
+++ b/pollenreel/fleet/beliefs.hpp
@@ -60,6 +60,8 @@
     void contact(base::time_point now);
     void contact_lost(base::time_point now);
 
+    [[nodiscard]] base::time_point contact_at() const { return m_contact_at; }
+
     // Drops what was held on to for long enough; true if anything was.
     bool expire(base::time_point now);
 
--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -29,6 +29,18 @@
 // this long. Longer bears longer losses on the way and keeps what was in
 // flight on a forgotten connection waiting.
 constexpr std::chrono::duration<int, std::milli> unacknowledged_limit{3000};
+// An idle connection, or one that waits for an answer, is probed by the kernel
+// after this long, and given up after as many unanswered probes: a connection
+// that something on the way has forgotten shows itself within three seconds.
+using keep_alive_idle =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using keep_alive_interval =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using keep_alive_probes =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+constexpr std::chrono::duration<int> probe_after{1};
+constexpr std::chrono::duration<int> probe_interval{1};
+constexpr int unanswered_probes = 2;
 // Answers to other requests that an exchange drops before it gives up.
 constexpr int most_strays = 4;
 
@@ -147,6 +159,12 @@
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
         m_stream.socket().set_option(asio::socket_base::keep_alive(true),
                                      ignored);
+        m_stream.socket().set_option(keep_alive_idle(probe_after.count()),
+                                     ignored);
+        m_stream.socket().set_option(
+            keep_alive_interval(probe_interval.count()), ignored);
+        m_stream.socket().set_option(keep_alive_probes(unanswered_probes),
+                                     ignored);
         m_stream.socket().set_option(user_timeout(unacknowledged_limit.count()),
                                      ignored);
         m_stream.socket().non_blocking(true, ignored);
