Let idle callers give way to new ones; close sessions that finish while draining

Cause: a few hundred idle connections kept a listener from answering anyone else. And http_test hung once: a session that was writing an answer when the server began to drain stayed open, idle, until its time-out.

Change: at the limit the connection that has been idle longest is closed for a new one; a session closes after the answer that it was writing when told to stop.

--- a/pollenreel/http/http_test.cpp
+++ b/pollenreel/http/http_test.cpp
@@ -199,17 +199,27 @@
             answers.push_back(std::move(a));
         });
         REQUIRE(m_server->start().has_value());
-        caller.connect(
-            {asio::ip::make_address_v4(o.listen.host), o.listen.port});
+        m_at = o.listen;
+        caller = connect();
         caller.non_blocking(true);
     }
 
+    tcp::socket connect() {
+        tcp::socket s(m_io);
+        s.connect({asio::ip::make_address_v4(m_at.host), m_at.port});
+        return s;
+    }
+    // Runs what is ready by now.
+    void settle() {
+        while (m_io.poll_one() > 0) {
+        }
+    }
     void send(const std::string& bytes) {
         asio::write(caller, asio::buffer(bytes));
     }
     template <class Condition>
     void run_until(Condition reached) {
-        for (int i = 0; i < 10'000 && !reached(); ++i) {
+        for (int i = 0; i < 1000 && !reached(); ++i) {
             m_io.run_one_for(10ms);
         }
         REQUIRE(reached());
@@ -242,6 +252,7 @@
 
 private:
     asio::io_context m_io;
+    base::endpoint m_at;
     std::optional<http::server> m_server;
 
 public:
@@ -303,14 +314,27 @@
 }
 
 TEST_CASE("a draining server closes idle connections") {
-    held_server s(pipelined());
-    s.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
-    s.run_until([&] { return s.answers.size() == 1; });
-    s.answers[0]({200, {}, "x"});
-    s.receive(1);
-    CHECK(s.server().connections() == 1);
-    s.server().drain();
-    s.run_until([&] { return s.server().connections() == 0; });
+    struct row {
+        const char* name;
+        bool writing; // the answer is still being written
+    };
+    const row rows[] = {
+        {"after the answer", false},
+        {"while the answer is written", true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        held_server s(pipelined());
+        s.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.run_until([&] { return s.answers.size() == 1; });
+        s.answers[0]({200, {}, "x"});
+        if (!r.writing) {
+            s.receive(1);
+            s.settle();
+        }
+        s.server().drain();
+        s.run_until([&] { return s.server().connections() == 0; });
+    }
 }
 
 TEST_CASE("a caller that is slow to send is cut off") {
@@ -351,6 +375,48 @@
     }
 }
 
+TEST_CASE("idle callers give way to new ones, busy callers do not") {
+    struct row {
+        const char* name;
+        bool busy; // the callers wait for answers
+        bool served;
+    };
+    const row rows[] = {
+        {"all places are idle", false, true},
+        {"all places are busy", true, false},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        http::server_options o;
+        o.max_connections = 3;
+        held_server s(o);
+        std::vector<tcp::socket> others;
+        for (int i = 0; i < 2; ++i) {
+            others.push_back(s.connect());
+        }
+        s.run_until([&] { return s.server().connections() == 3; });
+        const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+        if (r.busy) {
+            s.send(request);
+            for (auto& other : others) {
+                asio::write(other, asio::buffer(request));
+            }
+            s.run_until([&] { return s.answers.size() == 3; });
+        }
+        auto late = s.connect();
+        boost::system::error_code e;
+        asio::write(late, asio::buffer(request), e);
+        if (r.served) {
+            s.run_until([&] { return s.answers.size() == 1; });
+            CHECK(s.server().counters().idle_closed == 1);
+        } else {
+            s.run_until(
+                [&] { return s.server().counters().refused_connections == 1; });
+            CHECK(s.answers.size() == 3);
+        }
+    }
+}
+
 TEST_CASE("an answer to another request is dropped, or ends the exchange") {
     const std::string stray = "HTTP/1.1 200 OK\r\nX-Id: other\r\n"
                               "Content-Length: 5\r\n\r\nstray";
--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -103,13 +103,15 @@
 
 void session::stop() {
     m_stopping = true; // from now on, answers close the connection
-    const bool partly_read =
-        m_buffer.size() > 0 || (m_parser && m_parser->got_some());
-    if (m_owed.empty() && !partly_read && !m_answer) {
+    if (m_owed.empty() && !partly_read() && !m_answer) {
         close();
     }
 }
 
+bool session::partly_read() const {
+    return m_buffer.size() > 0 || (m_parser && m_parser->got_some());
+}
+
 void session::orphan() {
     m_orphaned = true;
     close();
@@ -123,9 +125,11 @@
 
 void session::expect(phase p) {
     const auto& o = m_owner.options;
+    m_idle_since.reset();
     switch (p) {
     case phase::idle:
-        m_overdue_at = steady::now() + o.idle_timeout;
+        m_idle_since = steady::now();
+        m_overdue_at = *m_idle_since + o.idle_timeout;
         break;
     case phase::header:
         m_overdue_at = steady::now() + o.header_timeout;
@@ -338,6 +342,10 @@
     if (m_finishing) {
         return finish();
     }
+    if (m_stopping && m_owed.empty() && !partly_read()) {
+        // It was told to stop while it wrote an answer that kept it open.
+        return close();
+    }
     expect(m_owed.empty() ? phase::idle : phase::busy);
     if (!m_reading) {
         await_bytes();
@@ -376,6 +384,7 @@
     }
     m_closed = true;
     m_overdue_at.reset();
+    m_idle_since.reset();
     m_owed.clear();
     beast::error_code ignored;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
--- a/pollenreel/http/internal/session.hpp
+++ b/pollenreel/http/internal/session.hpp
@@ -35,6 +35,11 @@
     void start();
     // Closes now if idle, else after the last answer that is owed.
     void stop();
+    // Set while nothing is owed and nothing of a request has been read.
+    [[nodiscard]] std::optional<base::time_point> idle_since() const {
+        return m_idle_since;
+    }
+    void close_now() { close(); }
     void close_after_answer() { m_stopping = true; }
     // Closes and forgets the server, which is about to go.
     void orphan();
@@ -45,6 +50,8 @@
     class slot; // one request, from its last byte to its answer
     enum class phase { idle, header, body, busy };
 
+    // Whether bytes of a request that is not whole are there.
+    [[nodiscard]] bool partly_read() const;
     void expect(phase p);
     void await_bytes();
     void on_bytes(boost::system::error_code e, std::size_t count);
@@ -76,6 +83,7 @@
         m_answer;                             // being written
     std::deque<std::shared_ptr<slot>> m_owed; // in the order of the requests
     std::optional<base::time_point> m_overdue_at;
+    std::optional<base::time_point> m_idle_since;
     std::uint32_t m_caller = 0; // IPv4, host order
     bool m_reading = false;
     bool m_keep_alive = true; // as the last request read asked
--- a/pollenreel/http/server.cpp
+++ b/pollenreel/http/server.cpp
@@ -141,7 +141,7 @@
             });
             return;
         }
-        if (m_sessions.size() >= m_options.max_connections) {
+        if (m_sessions.size() >= m_options.max_connections && !close_idlest()) {
             ++m_counters.refused_connections;
             socket.close(e);
         } else {
@@ -157,6 +157,24 @@
         accept();
     }
 
+    // Makes room for a new caller at the cost of the one that has been idle
+    // longest; false if none is idle.
+    bool close_idlest() {
+        std::shared_ptr<session> idlest;
+        for (const auto& s : held()) {
+            if (s->idle_since() &&
+                (!idlest || *s->idle_since() < *idlest->idle_since())) {
+                idlest = s;
+            }
+        }
+        if (!idlest) {
+            return false;
+        }
+        ++m_counters.idle_closed;
+        idlest->close_now();
+        return true;
+    }
+
     // Keeps sessions alive while each is told something.
     [[nodiscard]] std::vector<std::shared_ptr<session>> held() const {
         std::vector<std::shared_ptr<session>> all;
--- a/pollenreel/http/server.hpp
+++ b/pollenreel/http/server.hpp
@@ -55,6 +55,8 @@
 struct server_options {
     base::endpoint listen;
     http::limits limits;
+    // Beyond it, a new connection takes the place of the one that has been
+    // idle longest, or is refused.
     std::size_t max_connections = 10'000;
     // Requests of one connection that may be under way at once; their answers
     // go out in the order of the requests.
@@ -72,6 +74,7 @@
 struct server_counters {
     std::uint64_t accepted = 0;
     std::uint64_t refused_connections = 0; // over max_connections
+    std::uint64_t idle_closed = 0;         // to make room for new ones
     std::uint64_t malformed = 0;           // bad or too large messages
 };
 
