Ask the watch anew when the store answers other calls again

A watch that was asked for while the store was silent was never answered; its connection was alive, so the kernel's probes saw nothing, and with the longer wait it held on for six seconds, 4.6 s after the store had answered renewals.

Ruled out: the connection (new calls on others were answered at once), the interval between watches.

--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -105,8 +105,11 @@
             const bool failed = std::holds_alternative<store::unreachable>(a) ||
                                 std::holds_alternative<store::unanswered>(a);
             m_counts.store_failures += failed ? 1 : 0;
-            note_store(!failed, "call");
+            const bool regained = note_store(!failed, "call");
             done(a);
+            if (regained) {
+                run(m_follower.on_store_regained(m_clock.now()));
+            }
         });
     }
 
@@ -123,17 +126,18 @@
         run(m_follower.on_watch(r, m_clock.now()));
     }
 
-    // One line when the store is lost, and one when it answers again.
-    void note_store(bool reached, std::string_view by) {
-        if (reached == m_store_reached) {
-            return;
+    // One line when the store is lost, and one when it answers again; true in
+    // the latter case.
+    bool note_store(bool reached, std::string_view by) {
+        if (reached == std::exchange(m_store_reached, reached)) {
+            return false;
         }
-        m_store_reached = reached;
         if (reached) {
             m_log.info("store_regained", {{"by", by}});
         } else {
             m_log.warning("store_lost", {{"by", by}});
         }
+        return reached;
     }
 
     void on_change(const fleet::change& c, fleet::effect e) {
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -100,6 +100,15 @@
     return {};
 }
 
+follower::actions follower::on_store_regained(base::time_point now) {
+    if (m_listing || m_seen.value == 0) {
+        return {}; // a listing is under way, or comes with the next tick
+    }
+    m_retry_at.reset();
+    m_beliefs.contact(now);
+    return follow();
+}
+
 follower::actions follower::tick(base::time_point now) {
     if (!m_retry_at || now < *m_retry_at) {
         return {};
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -51,6 +51,9 @@
     // A report of the last `watch`.
     [[nodiscard]] actions on_watch(const store::watch_report& r,
                                    base::time_point now);
+    // Another call to the store was answered after calls had failed. A watch
+    // that was asked for meanwhile may never be answered: it is asked anew.
+    [[nodiscard]] actions on_store_regained(base::time_point now);
     // To be called a few times a second.
     [[nodiscard]] actions tick(base::time_point now);
     [[nodiscard]] bool listing() const { return m_listing.has_value(); }
--- a/pollenreel/fleet/follower_test.cpp
+++ b/pollenreel/fleet/follower_test.cpp
@@ -128,6 +128,21 @@
     }
 }
 
+// Found by a hunt (kavango-handles, trouble-3 --seed 200785995090): a watch
+// that was asked for while the store was silent waited six seconds for an
+// answer, though the store had long answered other calls.
+TEST_CASE("a watch is asked anew when the store answers other calls again") {
+    fixture x;
+    CHECK(x.f.on_store_regained(x.now).empty()); // before anything is known
+    const auto asked = x.f.start(x.now);
+    CHECK(x.f.on_store_regained(x.now).empty()); // while it lists
+    x.list(asked, {}, 10);
+    CHECK(x.f.on_watch(store::watch_changed{{written("t/b", 17)}}, x.now)
+              .empty());
+    CHECK(x.watched_from(x.f.on_store_regained(x.now)) == 18);
+    CHECK(x.f.tick(x.now + 1s).empty()); // no second one
+}
+
 TEST_CASE("a listing that fails is tried again") {
     fixture x;
     CHECK(x.f.start(x.now).size() == 1);
--- a/pollenreel/log/line_writer.hpp
+++ b/pollenreel/log/line_writer.hpp
@@ -17,7 +17,7 @@
 class line_writer {
 public:
     // Lines held for a reader that is slow; about two seconds of full volume.
-    static constexpr std::size_t most_held = 256 * 1024; // bytes
+    static constexpr std::size_t most_held = std::size_t{256} * 1024; // bytes
 
     explicit line_writer(int descriptor) : m_descriptor(descriptor) {}
     line_writer(const line_writer&) = delete;
