--- a/pollenreel/egress/target_pool.cpp
+++ b/pollenreel/egress/target_pool.cpp
@@ -18,11 +18,10 @@
 } // namespace
 
 target_pool::target_pool(boost::asio::io_context& io, const base::clock& clock,
-                         pool_options options, facts_reader read,
+                         target_pool_options options, facts_reader read,
                          report on_event)
-    : m_io(io), m_clock(clock), m_options(std::move(options)),
-      m_read(std::move(read)), m_report(std::move(on_event)),
-      m_book(m_options.connections) {}
+    : m_io(io), m_clock(clock), m_options(options), m_read(std::move(read)),
+      m_report(std::move(on_event)), m_book(m_options.connections) {}
 
 void target_pool::open(const request::open_attempt& o) {
     const auto id = o.attempt;
--- a/pollenreel/egress/target_pool.hpp
+++ b/pollenreel/egress/target_pool.hpp
@@ -20,7 +20,7 @@
 
 namespace pollenreel::egress {
 
-struct pool_options {
+struct target_pool_options {
     http::limits answer_limits;
     request::connection_limits connections;
     // A connect that takes longer is given up; within a fleet's longest
@@ -45,7 +45,8 @@
     using report = std::function<void(const request::attempt_event&)>;
 
     target_pool(boost::asio::io_context& io, const base::clock& clock,
-                pool_options options, facts_reader read, report on_event);
+                target_pool_options options, facts_reader read,
+                report on_event);
 
     // Gets a connection: a reusable one, or a new one. Reports
     // attempt_connected or attempt_connect_failed.
@@ -87,7 +88,7 @@
 
     boost::asio::io_context& m_io;
     const base::clock& m_clock;
-    pool_options m_options;
+    target_pool_options m_options;
     facts_reader m_read;
     report m_report;
     boost::unordered_flat_map<base::attempt_id, exchange> m_exchanges;
--- a/pollenreel/egress/target_pool_test.cpp
+++ b/pollenreel/egress/target_pool_test.cpp
@@ -69,8 +69,8 @@
 private:
     static constexpr const char* id_header = "Pollenreel-Request-Id";
 
-    static egress::pool_options options() {
-        egress::pool_options o;
+    static egress::target_pool_options options() {
+        egress::target_pool_options o;
         o.answer_limits = {4096, 4096};
         return o;
     }
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -35,7 +35,7 @@
 constexpr std::size_t most_directory_addresses = 64;
 constexpr std::uint32_t answer_header_bytes = 64 * 1024;
 constexpr std::uint64_t answer_body_bytes = 64ULL * 1024 * 1024;
-constexpr http::limits small_messages{8 * 1024, 8 * 1024};
+constexpr http::limits small_messages{8 * 1024, 8ULL * 1024};
 
 http::server_options listener(const base::endpoint& at, std::size_t most,
                               const http::limits& l) {
@@ -56,8 +56,8 @@
     return o;
 }
 
-egress::pool_options pool_options(const settings& s) {
-    egress::pool_options o;
+egress::target_pool_options pool_options(const settings& s) {
+    egress::target_pool_options o;
     o.answer_limits = {answer_header_bytes, answer_body_bytes};
     o.connections.longest_idle = s.target_idle;
     o.allow_close_delimited = true;
--- a/pollenreel/fleet/beliefs.cpp
+++ b/pollenreel/fleet/beliefs.cpp
@@ -125,6 +125,7 @@
     }
     m_listed = true;
     std::vector<change> missing;
+    missing.reserve(m_targets.size() + m_instances.size() + m_evacuated.size());
     for (const auto& [id, t] : m_targets) {
         if (!t.listed) {
             missing.emplace_back(target_removed{id});
@@ -141,6 +142,7 @@
         }
     }
     std::vector<std::pair<change, effect>> done;
+    done.reserve(missing.size());
     for (const auto& c : missing) {
         done.emplace_back(c, apply(c, now));
     }
--- a/pollenreel/http/http_test.cpp
+++ b/pollenreel/http/http_test.cpp
@@ -391,6 +391,7 @@
         o.max_connections = 3;
         held_server s(o);
         std::vector<tcp::socket> others;
+        others.reserve(2);
         for (int i = 0; i < 2; ++i) {
             others.push_back(s.connect());
         }
--- a/pollenreel/node/traffic_thread.cpp
+++ b/pollenreel/node/traffic_thread.cpp
@@ -43,8 +43,8 @@
     return o;
 }
 
-egress::pool_options pool_options(const settings::settings& s) {
-    egress::pool_options o;
+egress::target_pool_options pool_options(const settings::settings& s) {
+    egress::target_pool_options o;
     o.answer_limits = {answer_header_bytes, s.traffic.max_body_bytes};
     return o;
 }
--- a/testing/platform_wire.cpp
+++ b/testing/platform_wire.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 namespace json = boost::json;
-namespace etcd = store::etcd;
 
 std::string text_at(const json::object& o, std::string_view key) {
     const auto* v = o.if_contains(key);
