Compile and lint the tests' main once

Cause: each test program compiled testing/doctest_main.cpp itself, and the linter read it once for each of 38 programs: over three minutes at the end of a lint without remembered passes.

Change: one object library that all tests link.

--- a/cmake/pollenreel_targets.cmake
+++ b/cmake/pollenreel_targets.cmake
@@ -20,6 +20,11 @@
   BOOST_ASIO_SEPARATE_COMPILATION BOOST_ASIO_NO_DEPRECATED
   BOOST_BEAST_SEPARATE_COMPILATION)
 
+# The main of every test program, compiled and linted once.
+add_library(pollenreel_doctest_main OBJECT
+  ${PROJECT_SOURCE_DIR}/testing/doctest_main.cpp)
+target_link_libraries(pollenreel_doctest_main PRIVATE pollenreel_options)
+
 # pollenreel_library(NAME SOURCES ... DEPENDS ... [TESTS ...])
 #                   [BENCHMARKS ...] [BENCHMARK_DEPENDS ...])
 # Defines library pollenreel_NAME and, from TESTS, program NAME_test; from
@@ -37,10 +42,9 @@
       INTERFACE pollenreel_options ${arg_DEPENDS})
   endif()
   if(arg_TESTS)
-    add_executable(${name}_test ${arg_TESTS}
-      ${PROJECT_SOURCE_DIR}/testing/doctest_main.cpp)
+    add_executable(${name}_test ${arg_TESTS})
     target_link_libraries(${name}_test
-      PRIVATE pollenreel_${name} ${arg_TEST_DEPENDS})
+      PRIVATE pollenreel_doctest_main pollenreel_${name} ${arg_TEST_DEPENDS})
     add_test(NAME ${name} COMMAND ${name}_test)
   endif()
   if(arg_BENCHMARKS)
