--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -1,5 +1,6 @@
 #include "pollenreel/entry/traffic.hpp"
 
+#include "pollenreel/asio/wakeup.hpp"
 #include "pollenreel/base/overloaded.hpp"
 #include "pollenreel/egress/target_pool.hpp"
 #include "pollenreel/entry/request_log.hpp"
@@ -81,7 +82,8 @@
          const log::logger& log, const control_counts& counts)
         : m_settings(s), m_protocol(p), m_clock(clock), m_log(log),
           m_requests(log), m_control(counts), m_core(core_options(s)),
-          m_wakeup(m_io), m_housekeeping(m_io),
+          m_wakeup(m_io, [this] { handle(dispatch::tick{}); }),
+          m_housekeeping(m_io),
           m_callers(m_io, callers_listener(s),
                     [this](http::request r, http::responder answer) {
                         on_request(std::move(r), std::move(answer));
@@ -249,7 +251,7 @@
         for (const auto& effect : m_core.handle(e, m_clock.now())) {
             std::visit([&](const auto& one) { run(one); }, effect);
         }
-        arm_wakeup();
+        m_wakeup.arm(m_core.next_wakeup());
     }
 
     void run(const dispatch::open_attempt& e) {
@@ -310,23 +312,6 @@
         (*answer)(std::move(r));
     }
 
-    void arm_wakeup() {
-        // A timer that is due too early is left: it costs one empty tick, where
-        // moving it would cost a system call with each request.
-        const auto next = m_core.next_wakeup();
-        if (!next || (m_armed && *m_armed <= *next)) {
-            return;
-        }
-        m_armed = next;
-        m_wakeup.expires_at(*next);
-        m_wakeup.async_wait([this](const boost::system::error_code& e) {
-            if (!e) {
-                m_armed.reset();
-                handle(dispatch::tick{});
-            }
-        });
-    }
-
     void keep_house() {
         const auto now = m_clock.now();
         m_targets.close_expired();
@@ -367,7 +352,7 @@
     const control_counts& m_control;
     boost::asio::io_context m_io{1};
     dispatch::core m_core;
-    boost::asio::steady_timer m_wakeup;
+    asio::wakeup m_wakeup;
     boost::asio::steady_timer m_housekeeping;
     http::server m_callers;
     http::server m_readiness;
@@ -378,7 +363,6 @@
     fleet::view_ptr m_view;
     boost::unordered_flat_map<base::request_id, waiting> m_waiting;
     boost::unordered_flat_map<base::attempt_id, attempt_of> m_request_of;
-    std::optional<base::time_point> m_armed;
     std::optional<base::time_point> m_stop_at;
     std::function<void()> m_ended;
     std::optional<base::time_point> m_close_at;
--- a/pollenreel/node/traffic_thread.cpp
+++ b/pollenreel/node/traffic_thread.cpp
@@ -1,5 +1,6 @@
 #include "pollenreel/node/traffic_thread.hpp"
 
+#include "pollenreel/asio/wakeup.hpp"
 #include "pollenreel/base/overloaded.hpp"
 #include "pollenreel/egress/target_pool.hpp"
 #include "pollenreel/http/server.hpp"
@@ -65,7 +66,8 @@
     loop(traffic_options options, const base::clock& clock, log::logger log)
         : m_options(std::move(options)), m_clock(clock), m_log(std::move(log)),
           m_core({.seed = m_options.seed, .place = m_options.place}),
-          m_wakeup(m_io), m_housekeeping(m_io),
+          m_wakeup(m_io, [this] { handle(request::tick{}); }),
+          m_housekeeping(m_io),
           m_server(m_io, server_options(m_options.settings),
                    [this](http::request r, http::responder answer) {
                        on_request(std::move(r), std::move(answer));
@@ -196,7 +198,7 @@
             std::visit([&](const auto& one) { run(one); }, effect);
         }
         forget_failed(e);
-        arm_wakeup();
+        m_wakeup.arm(m_core.next_wakeup());
     }
 
     // A failed attempt has no effect of its own.
@@ -251,23 +253,6 @@
         (*answer)(std::move(r));
     }
 
-    void arm_wakeup() {
-        // A timer that is due too early is left: it costs one empty tick, where
-        // moving it would cost a system call with each request.
-        const auto next = m_core.next_wakeup();
-        if (!next || (m_armed && *m_armed <= *next)) {
-            return;
-        }
-        m_armed = next;
-        m_wakeup.expires_at(*next);
-        m_wakeup.async_wait([this](const boost::system::error_code& e) {
-            if (!e) {
-                m_armed.reset();
-                handle(request::tick{});
-            }
-        });
-    }
-
     void keep_house() {
         m_targets.close_expired();
         {
@@ -291,7 +276,7 @@
     log::logger m_log;
     boost::asio::io_context m_io{1};
     request::core m_core;
-    boost::asio::steady_timer m_wakeup;
+    asio::wakeup m_wakeup;
     boost::asio::steady_timer m_housekeeping;
     http::server m_server;
     egress::target_pool m_targets;
@@ -299,7 +284,6 @@
     std::optional<lookup::table> m_table;
     boost::unordered_flat_map<base::request_id, waiting> m_waiting;
     boost::unordered_flat_map<base::attempt_id, base::request_id> m_request_of;
-    std::optional<base::time_point> m_armed;
     base::request_id m_last_id;
     std::uint64_t m_lookups = 0;
     bool m_stopping = false;
