--- a/pollenreel/dispatch/core_test.cpp
+++ b/pollenreel/dispatch/core_test.cpp
@@ -312,6 +312,22 @@
     CHECK(by_target.size() == 1);
 }
 
+// The load pattern of placement's cost of order: a short queue must not move an
+// object to a target that has not cached it.
+TEST_CASE("an object waits in a queue where it is cached") {
+    driver d(true, 3);
+    std::map<base::target_id, int> by_target;
+    constexpr int slots_and_queue = 8; // four run, four wait
+    for (int i = 0; i < slots_and_queue; ++i) {
+        const auto out = d.arrive("/orders/7", "7");
+        const auto* open = find<open_attempt>(out);
+        REQUIRE(open != nullptr);
+        ++by_target[open->record.target];
+        d.handle(request::attempt_connected{open->open.attempt});
+    }
+    CHECK(by_target.size() == 1);
+}
+
 TEST_CASE("more work than all slots can do is refused at once") {
     driver d(true, 2);
     int refused = 0;
--- a/pollenreel/entry/request_log_test.cpp
+++ b/pollenreel/entry/request_log_test.cpp
@@ -92,6 +92,9 @@
     CHECK(count(seen, "\"request\":\"r77\"") == 2);
     CHECK(seen.find("target_chosen") < seen.find("request_refused"));
     CHECK(seen.find("\"config\":4") != std::string::npos);
+    // What is not known is null, never a number.
+    CHECK(seen.find("\"load_age_ms\":null") != std::string::npos);
+    CHECK(seen.find(":-1") == std::string::npos);
 }
 
 TEST_CASE("lines of requests in trouble are bounded and their loss is told") {
