Let one instance of a region watch the store for the others

Ruled out: stale listings (seconds old), longer intervals (a departure has to be known within its bound), ZeroMQ between instances: linking libzmq takes 3.5 MB of an instance's memory and using it 4.9 MB (a small program, VmHWM 1,996 KB, 5,532 KB, 6,888 KB), against 1.9 to 3.3 MB that an instance has in all. HTTP and protobuf's lite runtime, linked statically, take its place.

Change: all instances of a region pick the same watcher by rendezvous hashing. It journals the changes that matter; the others ask it with a long poll.

--- a/pollenreel/dispatch/cold_rate.cpp
+++ b/pollenreel/dispatch/cold_rate.cpp
@@ -1,6 +1,6 @@
 #include "pollenreel/dispatch/cold_rate.hpp"
 
-#include "pollenreel/dispatch/rendezvous.hpp"
+#include "pollenreel/fleet/rendezvous.hpp"
 
 #include <algorithm>
 
@@ -23,11 +23,11 @@
     if (live <= places) {
         return places / live;
     }
-    const auto own = rendezvous_score(target.str(), self.str());
+    const auto own = fleet::rendezvous_score(target.str(), self.str());
     const auto before = std::count_if(
         instances.begin(), instances.end(), [&](const auto& other) {
             return other.id != self &&
-                   rendezvous_score(target.str(), other.id.str()) > own;
+                   fleet::rendezvous_score(target.str(), other.id.str()) > own;
         });
     return static_cast<std::size_t>(before) < places ? 1 : 0;
 }
--- a/pollenreel/dispatch/placement.cpp
+++ b/pollenreel/dispatch/placement.cpp
@@ -1,6 +1,6 @@
 #include "pollenreel/dispatch/placement.hpp"
 
-#include "pollenreel/dispatch/rendezvous.hpp"
+#include "pollenreel/fleet/rendezvous.hpp"
 
 #include <algorithm>
 
@@ -44,7 +44,8 @@
     std::vector<ranked> order;
     order.reserve(candidates.size());
     for (const auto& c : candidates) {
-        order.push_back({&c, rendezvous_score(q.object, c.target->id.str())});
+        order.push_back(
+            {&c, fleet::rendezvous_score(q.object, c.target->id.str())});
     }
     std::sort(order.begin(), order.end(),
               [](const auto& a, const auto& b) { return a.score > b.score; });
--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -3,6 +3,9 @@
 #include "pollenreel/base/overloaded.hpp"
 #include "pollenreel/entry/change_log.hpp"
 #include "pollenreel/fleet/announcer.hpp"
+#include "pollenreel/http/client.hpp"
+#include "pollenreel/relay/codec.hpp"
+#include "pollenreel/relay/listener.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -36,10 +39,15 @@
     fleet::follower_options o;
     o.prefixes = l.prefixes;
     o.watched = l.watched;
-    o.watch_interval = s.watch_interval;
+    o.bound = s.change_bound();
     return o;
 }
 
+// Between instances of a region a connection takes a few milliseconds.
+constexpr milliseconds relay_connect_timeout{300};
+// The largest value of the store and some.
+constexpr http::limits relay_answer_limits{8 * 1024, 8ULL * 1024 * 1024};
+
 // Changes whenever the file is written or replaced.
 std::pair<std::int64_t, std::uint64_t> file_stamp(const std::string& path) {
     struct stat found {};
@@ -68,12 +76,14 @@
                      [this](const fleet::change& c, fleet::effect e) {
                          on_change(c, e);
                      }),
+          m_relay_client(io, relay_answer_limits, relay_connect_timeout),
           m_announcer(
               {m_options.layout.announce_key, m_options.layout.announce_value}),
           m_settings_stamp(file_stamp(m_options.settings_path)) {}
 
     void run() {
         wait_for_signal();
+        start_relay();
         run(m_follower.start(m_clock.now()));
         tick();
         m_io.run();
@@ -95,10 +105,87 @@
     }
 
     void run(const fleet::follower::watch& w) {
+        ++m_asks; // an ask that is under way is answered in vain
         m_watch = m_store.open(
             w.request, [this](const store::watch_report& r) { on_report(r); });
     }
 
+    void run(const fleet::follower::ask& a) {
+        m_watch.reset();
+        ++m_counts.relay_asks;
+        m_relay_client.call(
+            a.at, relay::encode(a.request), a.timeout,
+            [this, number = ++m_asks](const base::result<http::response>& r) {
+                if (number == m_asks) {
+                    on_relayed(r);
+                }
+            });
+    }
+
+    void on_relayed(const base::result<http::response>& r) {
+        const auto answer = r ? relay::decode_answer(r.value()) : std::nullopt;
+        const auto actions = m_follower.on_relayed(answer, m_clock.now());
+        if (!actions.empty() &&
+            std::holds_alternative<fleet::follower::watch>(actions.front())) {
+            ++m_counts.relay_failures;
+            m_log.info("relay_left",
+                       {{"relay", m_relay.watcher.str()},
+                        {"problem", r ? problem_of(answer)
+                                      : std::string_view("no answer")}});
+        }
+        run(actions);
+    }
+
+    static std::string_view
+    problem_of(const std::optional<fleet::relay_answer>& a) {
+        if (!a) {
+            return "unreadable";
+        }
+        switch (a->status) {
+        case fleet::relay_status::behind:
+            return "behind";
+        case fleet::relay_status::not_watching:
+            return "not watching";
+        case fleet::relay_status::current:
+            break;
+        }
+        return "old, or another one is asked";
+    }
+
+    void start_relay() {
+        if (!m_settings.relay) {
+            return;
+        }
+        m_relay_listener.emplace(
+            m_io, *m_settings.relay, m_clock, [this](store::revision known) {
+                return m_follower.answer(known, m_store_reached, m_clock.now());
+            });
+        if (const auto up = m_relay_listener->start(); !up) {
+            m_log.warning("relay_cannot_listen",
+                          {{"problem", up.error().text()}});
+        }
+    }
+
+    // After each report of the store.
+    void tell_askers() {
+        if (m_relay_listener) {
+            m_relay_listener->on_progress();
+            m_counts.relay_answers = m_relay_listener->answered();
+        }
+    }
+
+    void choose_relay() {
+        const auto chosen =
+            fleet::choose_relay(m_beliefs.instances(), m_settings.self());
+        if (chosen == m_relay) {
+            return;
+        }
+        m_relay = chosen;
+        m_follower.set_relay(chosen);
+        m_log.info("relay_chosen", {{"role", fleet::to_string(chosen.role)},
+                                    {"relay", chosen.watcher.str()}});
+    }
+
     void call(const store::request& r, store::client::replied done) {
         ++m_counts.store_calls;
         m_store.call(r, [this, done = std::move(done)](const store::reply& a) {
@@ -124,6 +211,7 @@
             m_log.info("store_history_lost");
         }
         run(m_follower.on_watch(r, m_clock.now()));
+        tell_askers();
     }
 
     // One line when the store is lost, and one when it answers again; true in
@@ -136,6 +224,7 @@
             m_log.info("store_regained", {{"by", by}});
         } else {
             m_log.warning("store_lost", {{"by", by}});
+            tell_askers();
         }
         return reached;
     }
@@ -160,6 +249,7 @@
         // A view also tells when the store last answered.
         const bool confirmed = m_beliefs.contact_at() > m_published_contact;
         if (std::exchange(m_changed, false) || confirmed) {
+            choose_relay();
             m_published_contact = m_beliefs.contact_at();
             m_traffic.publish(m_beliefs.compile());
         }
@@ -187,6 +277,9 @@
         m_changed = m_beliefs.expire(now) || m_changed;
         run(m_follower.tick(now));
         announce();
+        if (m_relay_listener) {
+            m_relay_listener->tick();
+        }
         if (now - m_settings_checked >= settings_check_period) {
             m_settings_checked = now;
             reload_if_changed("file");
@@ -278,6 +371,10 @@
     boost::asio::signal_set m_signals;
     fleet::beliefs m_beliefs;
     fleet::follower m_follower;
+    http::client m_relay_client;
+    std::optional<relay::listener> m_relay_listener;
+    fleet::relay_choice m_relay;
+    std::uint64_t m_asks = 0; // of relays
     fleet::announcer m_announcer;
     std::unique_ptr<store::open_watch> m_watch;
     std::pair<std::int64_t, std::uint64_t> m_settings_stamp;
--- a/pollenreel/entry/settings.cpp
+++ b/pollenreel/entry/settings.cpp
@@ -80,6 +80,12 @@
     row{"listen.metrics", endpoint_allowed, std::nullopt,
         "where GET /metrics is served",
         [](settings& s, text v) { return store_endpoint(s.metrics, v); }},
+    row{"listen.relay", "IPv4:port, or empty", "",
+        "where instances of the region ask what the store told this one; "
+        "without it every instance watches the store",
+        [](settings& s, text v) {
+            return v.empty() || store_endpoint(s.relay.emplace(), v);
+        }},
 };
 
 const std::array fleet_rows = {
@@ -181,11 +187,6 @@
     return all;
 }
 
-// Part of the shorter bound that may pass between two returns of the watch;
-// the rest is for the call, its way and one lost packet. A longer interval
-// costs fewer calls.
-constexpr int watch_interval_percent = 70;
-
 base::failure clash(const std::string& source, std::string detail) {
     return {make_error_code(pollenreel::settings::error::clash),
             source + ": " + std::move(detail)};
@@ -202,9 +203,6 @@
         return clash(source, "instance.failure_domain is not in "
                              "instance.region by fleet.failure_domains");
     }
-    read.watch_interval =
-        std::min(read.departure_bound, read.configuration_bound) *
-        watch_interval_percent / 100;
     return read;
 }
 
--- a/pollenreel/entry/settings.hpp
+++ b/pollenreel/entry/settings.hpp
@@ -9,8 +9,10 @@
 #include "pollenreel/fleet/view.hpp"
 #include "pollenreel/log/logger.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,6 +29,8 @@
     base::endpoint readiness;
     base::endpoint directory;
     base::endpoint metrics;
+    // Where instances of the region ask for changes; empty: they cannot.
+    std::optional<base::endpoint> relay;
     // [fleet]
     fleet::regions_of regions;
     std::chrono::milliseconds heartbeat_interval{};
@@ -36,8 +40,14 @@
     std::chrono::milliseconds call_timeout{};
     std::chrono::milliseconds departure_bound{};
     std::chrono::milliseconds configuration_bound{};
-    // Least time between two returns of a watch; follows from the bounds.
-    std::chrono::milliseconds watch_interval{};
+    // The shorter of the two.
+    [[nodiscard]] std::chrono::milliseconds change_bound() const {
+        return std::min(departure_bound, configuration_bound);
+    }
+    // As it is announced to the others.
+    [[nodiscard]] fleet::instance self() const {
+        return {id, callers, failure_domain, region, relay};
+    }
     // [limits]
     dispatch::joint_limits limits;
     std::uint32_t max_callers = 0;
--- a/pollenreel/entry/settings_test.cpp
+++ b/pollenreel/entry/settings_test.cpp
@@ -49,7 +49,7 @@
     CHECK(s.value().heartbeat_interval == 1500ms);
     CHECK(s.value().limits.repeats.slack == 64);
     CHECK(s.value().stop_grace == 6s);
-    CHECK(s.value().watch_interval == 1750ms);
+    CHECK(s.value().change_bound() == 2500ms);
 }
 
 TEST_CASE("bad settings are refused by name") {
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -230,8 +230,7 @@
         std::erase_if(all,
                       [&](const auto& i) { return i.id == m_settings.id; });
         if (m_core.ready()) {
-            all.push_back({m_settings.id, m_settings.callers,
-                           m_settings.failure_domain, m_settings.region});
+            all.push_back(m_settings.self());
         }
         return all;
     }
--- a/pollenreel/entry/traffic_metrics.cpp
+++ b/pollenreel/entry/traffic_metrics.cpp
@@ -78,6 +78,15 @@
     page.counter("pollenreel_unreadable_entries_total",
                  "Entries of the store that could not be used.",
                  c.unreadable_entries);
+    page.counter("pollenreel_relay_asks_total",
+                 "Times another instance was asked for changes of the store.",
+                 c.relay_asks);
+    page.counter("pollenreel_relay_failures_total",
+                 "Of these, without an answer that could be used.",
+                 c.relay_failures);
+    page.counter("pollenreel_relay_answers_total",
+                 "Answers to other instances that asked for changes.",
+                 c.relay_answers);
 }
 
 } // namespace
--- a/pollenreel/fleet/beliefs.cpp
+++ b/pollenreel/fleet/beliefs.cpp
@@ -210,10 +210,17 @@
             v->targets.push_back(compile(t));
         }
     }
+    v->instances = instances();
+    return v;
+}
+
+std::vector<instance> beliefs::instances() const {
+    std::vector<instance> all;
+    all.reserve(m_instances.size());
     for (const auto& [id, one] : m_instances) {
-        v->instances.push_back(one);
+        all.push_back(one);
     }
-    return v;
+    return all;
 }
 
 } // namespace pollenreel::fleet
--- a/pollenreel/fleet/beliefs.hpp
+++ b/pollenreel/fleet/beliefs.hpp
@@ -61,6 +61,8 @@
     void contact_lost(base::time_point now);
 
     [[nodiscard]] base::time_point contact_at() const { return m_contact_at; }
+    // Whether entries may be missing because the store was or is away.
+    [[nodiscard]] bool restoring(base::time_point now) const;
 
     // Drops what was held on to for long enough; true if anything was.
     bool expire(base::time_point now);
@@ -69,7 +71,7 @@
     [[nodiscard]] bool complete() const;
     [[nodiscard]] view_ptr compile() const;
     [[nodiscard]] std::size_t targets() const { return m_targets.size(); }
-    [[nodiscard]] std::size_t instances() const { return m_instances.size(); }
+    [[nodiscard]] std::vector<instance> instances() const;
 
 private:
     struct known_target {
@@ -89,7 +91,6 @@
     effect on(const unrelated& c, base::time_point now);
     effect on(const unreadable& c, base::time_point now);
     effect remove(const base::target_id& id, base::time_point now);
-    [[nodiscard]] bool restoring(base::time_point now) const;
     [[nodiscard]] base::region_id
     region_of(const base::failure_domain_id& d) const;
     [[nodiscard]] target compile(const known_target& t) const;
--- /dev/null
+++ b/pollenreel/fleet/change_journal.hpp
@@ -0,0 +1,41 @@
+// The changes of the store that mattered lately, for instances that ask for
+// what they have not seen. Keeps the last change of each key only.
+//
+//   change_journal j;
+//   j.begin(listed_at);
+//   j.add(change);
+//   if (const auto missed = j.since(known)) ...
+#pragma once
+
+#include "pollenreel/store/messages.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pollenreel::fleet {
+
+// Pure; one thread only.
+class change_journal {
+public:
+    // Some times the keys of the largest fleet on one watcher.
+    static constexpr std::size_t most_changes = 4096;
+
+    // Forgets all; complete for changes after `at` from now on.
+    void begin(store::revision at);
+    void add(const store::key_change& c);
+    // The changes after `known`; empty if they are not all kept.
+    [[nodiscard]] std::optional<std::vector<store::key_change>>
+    since(store::revision known) const;
+
+private:
+    using place = std::pair<store::revision, std::string>;
+
+    store::revision m_begin{};
+    std::map<place, store::key_change> m_changes;
+    std::map<std::string, store::revision> m_last; // of each key
+};
+
+} // namespace pollenreel::fleet
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -4,13 +4,41 @@
 
 namespace pollenreel::fleet {
 
+namespace {
+
+using std::chrono::milliseconds;
+
+// Parts of the bound, in percent. Between two returns of a watch that serves
+// this instance only; the rest is for the call, its way and one lost packet.
+// A longer interval costs fewer calls.
+constexpr int own_watch_percent = 70;
+// Between two returns of a watch that others rely on, and for how long beyond
+// it they wait for the relay: after both they still have to ask the store.
+constexpr int relay_watch_percent = 45;
+constexpr int relay_patience_percent = 30;
+
+// Whether a change says something new to those who know what was before it.
+bool matters(const change& c, effect e) {
+    if (e == effect::changed || e == effect::deferred) {
+        return true;
+    }
+    // How long a target stays cold is told anew each time.
+    const auto* t = std::get_if<target_written>(&c);
+    return t != nullptr && t->report.cold_for > milliseconds::zero();
+}
+
+} // namespace
+
 follower::follower(follower_options o, decoder d, beliefs& b, observer told)
     : m_options(std::move(o)), m_decode(std::move(d)), m_beliefs(b),
       m_told(std::move(told)) {}
 
 follower::actions follower::start(base::time_point now) {
     m_retry_at.reset();
+    m_watching.reset();
+    m_asking = false;
     m_listed_at = {};
+    m_newest_listed = {};
     m_listing = 0;
     m_beliefs.begin_listing();
     return list_next(now);
@@ -22,17 +50,36 @@
     }
     m_listing.reset();
     m_seen = m_listed_at;
+    // A listing does not say what it changed.
+    m_journal.begin(std::max(m_listed_at, m_newest_listed));
     for (const auto& [c, e] : m_beliefs.end_listing(now)) {
         m_told(c, e);
     }
     return follow();
 }
 
+milliseconds follower::watch_interval() const {
+    const int percent = m_relay.role == relay_role::watcher
+                            ? relay_watch_percent
+                            : own_watch_percent;
+    return m_options.bound * percent / 100;
+}
+
 follower::actions follower::follow() {
-    return {watch{{m_options.watched,
-                   true,
-                   {m_seen.value + 1},
-                   m_options.watch_interval}}};
+    m_asking = false;
+    m_watching = watch_interval();
+    return {watch{{m_options.watched, true, {m_seen.value + 1}, *m_watching}}};
+}
+
+follower::actions follower::ask_relay() {
+    m_watching.reset();
+    m_asking = true;
+    const auto until = [&](int percent) {
+        return m_options.bound * (relay_watch_percent + percent) / 100;
+    };
+    return {ask{m_relay.at,
+                {m_seen, until(relay_patience_percent / 2)},
+                until(relay_patience_percent)}};
 }
 
 follower::actions follower::on_listed(const store::reply& r,
@@ -50,6 +97,7 @@
     m_beliefs.contact(now);
     for (const auto& e : all->entries) {
         apply({e.key, e.modified, e}, now);
+        m_newest_listed = std::max(m_newest_listed, e.modified);
     }
     if (*m_listing == 0) {
         m_listed_at = all->at;
@@ -60,12 +108,29 @@
 
 void follower::apply(const store::key_change& c, base::time_point now) {
     const auto decoded = m_decode(c);
-    m_told(decoded, m_beliefs.apply(decoded, now));
+    const auto done = m_beliefs.apply(decoded, now);
+    // What a relay tells has mattered to it.
+    if (!m_listing && (m_asking || matters(decoded, done))) {
+        m_journal.add(c);
+    }
+    m_told(decoded, done);
+}
+
+void follower::apply(const std::vector<store::key_change>& all,
+                     base::time_point now) {
+    for (const auto& c : all) {
+        if (c.at > m_seen) {
+            apply(c, now);
+        }
+    }
+    for (const auto& c : all) {
+        m_seen = std::max(m_seen, c.at);
+    }
 }
 
 follower::actions follower::on_watch(const store::watch_report& r,
                                      base::time_point now) {
-    if (m_listing) {
+    if (m_listing || !m_watching) {
         return {};
     }
     return std::visit([&](const auto& one) { return on(one, now); }, r);
@@ -78,15 +143,12 @@
 follower::actions follower::on(const store::watch_changed& r,
                                base::time_point now) {
     m_beliefs.contact(now);
-    for (const auto& c : r.changes) {
-        if (c.at > m_seen) {
-            apply(c, now);
-        }
-    }
-    for (const auto& c : r.changes) {
-        m_seen = std::max(m_seen, c.at);
+    apply(r.changes, now);
+    if (m_relay.role == relay_role::follower && now >= m_no_relay_until &&
+        !m_beliefs.restoring(now)) {
+        return ask_relay();
     }
-    return {};
+    return watch_interval() == *m_watching ? actions() : follow();
 }
 
 follower::actions follower::on(const store::watch_compacted&,
@@ -100,9 +162,42 @@
     return {};
 }
 
+follower::actions follower::on_relayed(const std::optional<relay_answer>& a,
+                                       base::time_point now) {
+    if (m_listing || !m_asking) {
+        return {};
+    }
+    const auto oldest =
+        m_options.bound * (relay_watch_percent + relay_patience_percent) / 100;
+    if (!a || a->status != relay_status::current || a->age > oldest) {
+        // Says nothing of the store: this instance may still reach it.
+        m_no_relay_until = now + m_options.relay_pause;
+        return follow();
+    }
+    m_beliefs.contact(now - a->age);
+    apply(a->changes, now);
+    m_seen = std::max(m_seen, a->seen);
+    return m_relay.role == relay_role::follower ? ask_relay() : follow();
+}
+
+relay_answer follower::answer(store::revision known, bool store_reached,
+                              base::time_point now) const {
+    if (!m_watching || m_retry_at || !store_reached ||
+        m_beliefs.restoring(now)) {
+        return {};
+    }
+    auto missed = m_journal.since(known);
+    if (!missed) {
+        return {relay_status::behind, m_seen, {}, {}};
+    }
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(now - m_beliefs.contact_at());
+    return {relay_status::current, m_seen, age, std::move(*missed)};
+}
+
 follower::actions follower::on_store_regained(base::time_point now) {
-    if (m_listing || m_seen.value == 0) {
-        return {}; // a listing is under way, or comes with the next tick
+    if (m_listing || m_asking || m_seen.value == 0) {
+        return {}; // needs no watch, or has one coming with the next tick
     }
     m_retry_at.reset();
     m_beliefs.contact(now);
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -1,16 +1,23 @@
-// Follows the platform's store: lists the keys once, then watches for
-// changes; lists again when the store no longer keeps the history, and tries
-// again after failures. Pure: says what to ask, is told what came.
+// Follows the platform's store: lists the keys once, then follows the
+// changes; lists again when the history is no longer kept, and tries again
+// after failures. Changes come from a watch of the store or, where another
+// instance of the region watches it, from that one: the store's calls then do
+// not grow with the fleet. Pure: says what to ask, is told what came.
 //
-//   follower f(options);
+//   follower f(options, decoder, beliefs, observer);
 //   run(f.start(now));
+//   f.set_relay(choose_relay(live, self));
 //   run(f.on_listed(reply, now));
 //   run(f.on_watch(report, now));
+//   run(f.on_relayed(answer, now));
 #pragma once
 
 #include "pollenreel/base/clock.hpp"
 #include "pollenreel/fleet/beliefs.hpp"
+#include "pollenreel/fleet/change_journal.hpp"
 #include "pollenreel/fleet/messages.hpp"
+#include "pollenreel/fleet/relay_choice.hpp"
+#include "pollenreel/fleet/relay_messages.hpp"
 
 #include <functional>
 #include <optional>
@@ -23,10 +30,12 @@
 struct follower_options {
     std::vector<std::string> prefixes; // that are listed
     std::string watched;               // a prefix that covers them all
-    // Between two returns of the watch. Longer costs fewer calls; a target's
-    // departure is acted on this much later.
-    std::chrono::milliseconds watch_interval{};
+    // A departure has to be known within this, whatever is lost on the way.
+    std::chrono::milliseconds bound{};
     std::chrono::milliseconds retry_delay{250};
+    // A relay that failed is not asked again for this long; until then the
+    // store is watched. Longer than an instance that died stays announced.
+    std::chrono::milliseconds relay_pause{4000};
 };
 
 class follower {
@@ -34,10 +43,17 @@
     struct list {
         std::string prefix;
     };
+    // Ends an ask that is under way.
     struct watch {
         store::watch request;
     };
-    using action = std::variant<list, watch>;
+    // Ends a watch that is open.
+    struct ask {
+        base::endpoint at;
+        relay_ask request;
+        std::chrono::milliseconds timeout{};
+    };
+    using action = std::variant<list, watch, ask>;
     using actions = std::vector<action>;
     // Told of each change and what it did, for the log.
     using observer = std::function<void(const change&, effect)>;
@@ -45,12 +61,17 @@
     follower(follower_options o, decoder d, beliefs& b, observer told);
 
     [[nodiscard]] actions start(base::time_point now);
+    // Takes effect with the next report or answer.
+    void set_relay(const relay_choice& r) { m_relay = r; }
     // The answer to the last `list`.
     [[nodiscard]] actions on_listed(const store::reply& r,
                                     base::time_point now);
     // A report of the last `watch`.
     [[nodiscard]] actions on_watch(const store::watch_report& r,
                                    base::time_point now);
+    // The answer to the last `ask`; empty: none came.
+    [[nodiscard]] actions on_relayed(const std::optional<relay_answer>& a,
+                                     base::time_point now);
     // Another call to the store was answered after calls had failed. A watch
     // that was asked for meanwhile may never be answered: it is asked anew.
     [[nodiscard]] actions on_store_regained(base::time_point now);
@@ -58,23 +79,39 @@
     [[nodiscard]] actions tick(base::time_point now);
     [[nodiscard]] bool listing() const { return m_listing.has_value(); }
 
+    // What another instance that asks is to be told; `store_reached`: the
+    // store answered the last call.
+    [[nodiscard]] relay_answer answer(store::revision known, bool store_reached,
+                                      base::time_point now) const;
+
 private:
     actions on(const store::watch_opened&, base::time_point now);
     actions on(const store::watch_changed& r, base::time_point now);
     actions on(const store::watch_compacted&, base::time_point now);
     actions on(const store::watch_cut&, base::time_point now);
     void apply(const store::key_change& c, base::time_point now);
+    void apply(const std::vector<store::key_change>& all, base::time_point now);
     actions list_next(base::time_point now);
+    // Watches the store from what is known.
     actions follow();
+    actions ask_relay();
+    [[nodiscard]] std::chrono::milliseconds watch_interval() const;
 
     follower_options m_options;
     decoder m_decode;
     beliefs& m_beliefs;
     observer m_told;
+    change_journal m_journal;
+    relay_choice m_relay;
     std::optional<std::size_t> m_listing; // the prefix that is being listed
     store::revision m_seen{};             // changes up to it are known
     store::revision m_listed_at{};        // of the first prefix of a listing
+    store::revision m_newest_listed{};
     std::optional<base::time_point> m_retry_at;
+    // Of the watch that is open; empty: none is.
+    std::optional<std::chrono::milliseconds> m_watching;
+    bool m_asking = false; // a relay
+    base::time_point m_no_relay_until{};
 };
 
 } // namespace pollenreel::fleet
--- a/pollenreel/fleet/follower_test.cpp
+++ b/pollenreel/fleet/follower_test.cpp
@@ -47,7 +47,7 @@
 class fixture {
 public:
     fixture()
-        : at({}, {}), f({{"c", "t/"}, "", 700ms, 250ms}, decode, at,
+        : at({}, {}), f({{"c", "t/"}, "", 1000ms, 250ms}, decode, at,
                         [](const change&, effect) {}) {}
 
     // Answers a whole listing, begun by `asked`.
@@ -97,6 +97,28 @@
     CHECK(x.at.targets() == 1);
 }
 
+TEST_CASE("the watch leaves time to act on a departure within its bound") {
+    struct row {
+        const char* name;
+        relay_role role;
+        std::chrono::milliseconds interval;
+    };
+    const row rows[] = {
+        {"for this instance alone", relay_role::alone, 700ms},
+        {"until its relay is asked", relay_role::follower, 700ms},
+        {"others wait for it first", relay_role::watcher, 450ms},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        fixture x;
+        x.f.set_relay({r.role, {}, {}});
+        const auto then = x.list(x.f.start(x.now), {}, 10);
+        REQUIRE(x.watched_from(then) == 11);
+        CHECK(std::get<follower::watch>(then.front()).request.min_interval ==
+              r.interval);
+    }
+}
+
 TEST_CASE("a follower carries on after failures") {
     struct row {
         const char* name;
--- /dev/null
+++ b/pollenreel/fleet/relay_test.cpp
@@ -0,0 +1,432 @@
+// Instances of a region that learn of the store's changes from the one that
+// watches it: the parts, and many followers together in virtual time.
+#include "pollenreel/base/random.hpp"
+#include "pollenreel/fleet/change_journal.hpp"
+#include "pollenreel/fleet/follower.hpp"
+#include "pollenreel/fleet/relay_choice.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace pollenreel;
+using namespace pollenreel::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::time_point start{std::chrono::hours(1)};
+constexpr std::chrono::milliseconds bound = 2500ms;
+
+store::key_change written(const std::string& key, std::int64_t revision) {
+    return {key, {revision}, store::entry{key, "", {revision}, {}}};
+}
+store::key_change removed(const std::string& key, std::int64_t revision) {
+    return {key, {revision}, std::nullopt};
+}
+
+// Keys "t/ID" are targets; "c" holds the configuration.
+change decode(const store::key_change& c) {
+    if (c.key == "c") {
+        configuration_written w;
+        w.configuration.version = base::config_version(1);
+        return w;
+    }
+    const base::target_id id(c.key.substr(2));
+    if (!c.value) {
+        return target_removed{id};
+    }
+    target_report r;
+    r.id = id;
+    return target_written{r};
+}
+
+instance member(const std::string& id, const std::string& region) {
+    instance i;
+    i.id = base::instance_id(id);
+    i.region = base::region_id(region);
+    i.relay = base::endpoint{"127.0.0.1", 1};
+    return i;
+}
+
+std::vector<std::int64_t>
+revisions(const std::optional<std::vector<store::key_change>>& found) {
+    std::vector<std::int64_t> all;
+    for (const auto& c : found.value_or(std::vector<store::key_change>())) {
+        all.push_back(c.at.value);
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("a journal keeps the last change of each key since it began") {
+    change_journal j;
+    j.begin({10});
+    CHECK_FALSE(j.since({9}).has_value());
+    CHECK(revisions(j.since({10})).empty());
+    j.add(written("t/a", 11));
+    j.add(written("t/b", 12));
+    j.add(removed("t/a", 12)); // one write may change several keys
+    j.add(written("t/c", 15));
+    CHECK(revisions(j.since({10})) == std::vector<std::int64_t>{12, 12, 15});
+    CHECK(revisions(j.since({12})) == std::vector<std::int64_t>{15});
+    j.begin({20});
+    CHECK_FALSE(j.since({15}).has_value());
+}
+
+TEST_CASE("a journal is bounded, and says from where it is complete") {
+    change_journal j;
+    j.begin({0});
+    const auto most = static_cast<std::int64_t>(change_journal::most_changes);
+    for (std::int64_t i = 1; i <= most + 5; ++i) {
+        j.add(written("t/" + std::to_string(i), i));
+    }
+    CHECK_FALSE(j.since({4}).has_value());
+    REQUIRE(j.since({5}).has_value());
+    CHECK(j.since({5})->size() == change_journal::most_changes);
+}
+
+TEST_CASE("instances of a region agree on the one that watches") {
+    std::vector<instance> live;
+    for (int i = 0; i < 6; ++i) {
+        live.push_back(member("i-" + std::to_string(i), i < 4 ? "a" : "b"));
+    }
+    live.push_back(member("without-relay", "a"));
+    live.back().relay.reset();
+    std::set<std::string> watchers;
+    std::map<std::string, int> roles;
+    for (const auto& self : live) {
+        const auto c = choose_relay(live, self);
+        ++roles[std::string(to_string(c.role))];
+        if (c.role == relay_role::follower) {
+            watchers.insert(self.region.str() + c.watcher.str());
+        }
+    }
+    CHECK(watchers.size() == 2);
+    CHECK(roles["watcher"] == 2);
+    CHECK(roles["follower"] == 4);
+    CHECK(roles["alone"] == 1); // it has no relay address
+    CHECK(choose_relay({live[0], live[4]}, live[0]).role == relay_role::alone);
+}
+
+namespace {
+
+// A region's instances around a store whose log a test writes. Messages take
+// time; instances, the store and the ways between them fail as told.
+class region {
+public:
+    explicit region(int instances, std::uint64_t seed) : m_random(seed) {
+        write("c");
+        for (int i = 0; i < 5; ++i) {
+            write("t/" + std::to_string(i));
+        }
+        for (int i = 0; i < instances; ++i) {
+            m_members.push_back(
+                std::make_unique<node>(member("i-" + std::to_string(i), "a")));
+            live.push_back(m_members.back()->self);
+        }
+        for (std::size_t i = 0; i < m_members.size(); ++i) {
+            m_members[i]->follow.set_relay(choose_relay(live, live[i]));
+            run(i, m_members[i]->follow.start(m_now));
+        }
+    }
+
+    void write(const std::string& key) {
+        m_log.push_back(written(key, ++m_revision));
+    }
+    void remove(const std::string& key) {
+        m_log.push_back(removed(key, ++m_revision));
+    }
+    void advance(std::chrono::milliseconds by) {
+        const auto until = m_now + by;
+        while (m_now < until) {
+            m_now += 10ms;
+            // Targets report all the time.
+            if (m_random.below(20) == 0) {
+                write("t/" + std::to_string(1 + m_random.below(4)));
+            }
+            step();
+        }
+    }
+    // Index of the instance that the others ask.
+    [[nodiscard]] std::size_t watcher() const {
+        for (std::size_t i = 0; i < live.size(); ++i) {
+            if (choose_relay(live, live[i]).role == relay_role::watcher) {
+                return i;
+            }
+        }
+        return 0;
+    }
+    [[nodiscard]] bool knows(std::size_t i, const std::string& target) const {
+        const auto v = m_members[i]->known.compile();
+        return std::any_of(
+            v->targets.begin(), v->targets.end(),
+            [&](const auto& t) { return t.id == base::target_id(target); });
+    }
+    [[nodiscard]] std::size_t size() const { return m_members.size(); }
+
+    std::vector<instance> live;
+    // Faults, by instance.
+    std::set<std::size_t> dead;        // neither asks nor answers
+    std::set<std::size_t> silent;      // does not answer others
+    std::set<std::size_t> turned_away; // by the store
+    double lost = 0;                   // part of the messages between instances
+    int store_calls = 0;
+
+private:
+    struct node {
+        explicit node(instance i)
+            : self(std::move(i)), known({}, {}),
+              follow({{"c", "t/"}, "", bound}, decode, known,
+                     [](const change&, effect) {}) {}
+        instance self;
+        beliefs known;
+        follower follow;
+        std::optional<follower::watch> open; // as it was asked for
+        base::time_point next_return{};
+        std::uint64_t asks = 0;
+    };
+    struct held {
+        std::size_t by;
+        std::size_t from;
+        std::uint64_t number;
+        store::revision known;
+        base::time_point until;
+    };
+
+    void later(std::chrono::milliseconds in, std::function<void()> what) {
+        m_events.emplace(m_now + in, std::move(what));
+    }
+    void run(std::size_t i, const follower::actions& actions) {
+        for (const auto& a : actions) {
+            std::visit([&](const auto& one) { begin(i, one); }, a);
+        }
+    }
+    void begin(std::size_t i, const follower::list& l) {
+        ++store_calls;
+        later(10ms, [this, i, l] {
+            store::found_all all;
+            all.at = {m_revision};
+            std::map<std::string, store::entry> found;
+            for (const auto& c : m_log) {
+                if (!c.key.starts_with(l.prefix)) {
+                    continue;
+                }
+                found.erase(c.key);
+                if (c.value) {
+                    found[c.key] = *c.value;
+                }
+            }
+            for (const auto& [key, e] : found) {
+                all.entries.push_back(e);
+            }
+            run(i, m_members[i]->follow.on_listed(all, m_now));
+        });
+    }
+    void begin(std::size_t i, const follower::watch& w) {
+        ++m_members[i]->asks;
+        m_members[i]->open = w;
+        m_members[i]->next_return = m_now + 10ms;
+    }
+    void begin(std::size_t i, const follower::ask& a) {
+        auto& n = *m_members[i];
+        n.open.reset();
+        const auto number = ++n.asks;
+        const auto to = watcher_id(choose_relay(live, n.self).watcher);
+        later(a.timeout,
+              [this, i, number] { answered(i, number, std::nullopt); });
+        if (m_random.unit() < lost || dead.contains(to) ||
+            silent.contains(to)) {
+            return;
+        }
+        later(2ms, [this, to, i, number, a] {
+            m_held.push_back(
+                {to, i, number, a.request.known, m_now + a.request.wait});
+        });
+    }
+    std::size_t watcher_id(const base::instance_id& id) const {
+        for (std::size_t i = 0; i < m_members.size(); ++i) {
+            if (m_members[i]->self.id == id) {
+                return i;
+            }
+        }
+        return 0;
+    }
+    void answered(std::size_t i, std::uint64_t number,
+                  const std::optional<relay_answer>& a) {
+        auto& n = *m_members[i];
+        if (n.asks == number && !dead.contains(i)) {
+            ++n.asks; // one answer only
+            run(i, n.follow.on_relayed(a, m_now));
+        }
+    }
+    void answer_askers(std::size_t by, bool all) {
+        auto waiting = std::exchange(m_held, {});
+        for (const auto& h : waiting) {
+            const auto a = m_members[by]->follow.answer(
+                h.known, !turned_away.contains(by), m_now);
+            const bool news =
+                a.status != relay_status::current || !a.changes.empty();
+            if (h.by != by || !(all || news || m_now >= h.until)) {
+                m_held.push_back(h);
+            } else if (m_random.unit() >= lost && !silent.contains(by)) {
+                later(2ms, [this, h, a] { answered(h.from, h.number, a); });
+            }
+        }
+    }
+    void return_watch(std::size_t i) {
+        auto& n = *m_members[i];
+        ++store_calls;
+        if (turned_away.contains(i)) {
+            n.open.reset();
+            return run(i, n.follow.on_watch(store::watch_cut{}, m_now));
+        }
+        const auto w = *n.open;
+        store::watch_changed r;
+        for (const auto& c : m_log) {
+            if (c.at >= w.request.from) {
+                r.changes.push_back(c);
+            }
+        }
+        n.open->request.from = {m_revision + 1};
+        n.next_return = m_now + w.request.min_interval;
+        run(i, n.follow.on_watch(r, m_now));
+        answer_askers(i, true);
+    }
+    void step() {
+        while (!m_events.empty() && m_events.begin()->first <= m_now) {
+            const auto what = m_events.begin()->second;
+            m_events.erase(m_events.begin());
+            what();
+        }
+        for (std::size_t i = 0; i < m_members.size(); ++i) {
+            auto& n = *m_members[i];
+            if (dead.contains(i)) {
+                continue;
+            }
+            if (n.open && m_now >= n.next_return) {
+                return_watch(i);
+            }
+            run(i, n.follow.tick(m_now));
+            answer_askers(i, false);
+        }
+    }
+
+    base::random m_random;
+    base::time_point m_now = start;
+    std::int64_t m_revision = 0;
+    std::vector<store::key_change> m_log;
+    std::vector<std::unique_ptr<node>> m_members;
+    std::multimap<base::time_point, std::function<void()>> m_events;
+    std::vector<held> m_held;
+};
+
+} // namespace
+
+TEST_CASE("store calls do not grow with the instances of a region") {
+    for (const int instances : {3, 12, 45}) {
+        CAPTURE(instances);
+        region r(instances, 1);
+        r.advance(5s);
+        const int before = r.store_calls;
+        r.advance(30s);
+        // One watcher that returns every 0.45 of the bound.
+        CHECK(r.store_calls - before <= 30s / (bound * 45 / 100) + 1);
+    }
+}
+
+TEST_CASE("a departure is known within its bound whatever the relay does") {
+    struct row {
+        const char* name;
+        std::function<void(region&)> fault;
+        double lost;
+    };
+    const row rows[] = {
+        {"nothing", [](region&) {}, 0},
+        {"it dies", [](region& r) { r.dead.insert(r.watcher()); }, 0},
+        {"it falls silent", [](region& r) { r.silent.insert(r.watcher()); }, 0},
+        {"the store turns it away",
+         [](region& r) { r.turned_away.insert(r.watcher()); }, 0},
+        {"messages are lost", [](region&) {}, 0.3},
+        {"messages are lost and it dies",
+         [](region& r) { r.dead.insert(r.watcher()); }, 0.3},
+    };
+    for (const auto& row : rows) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            CAPTURE(row.name);
+            CAPTURE(seed);
+            region r(8, seed);
+            r.lost = row.lost;
+            r.advance(5s + std::chrono::milliseconds(seed * 131));
+            REQUIRE(r.knows(0, "0"));
+            row.fault(r);
+            // Changes are told together or apart from the fault.
+            r.advance(std::chrono::milliseconds(seed * 47));
+            r.remove("t/0");
+            r.advance(bound);
+            for (std::size_t i = 0; i < r.size(); ++i) {
+                if (!r.dead.contains(i) && !r.turned_away.contains(i)) {
+                    CAPTURE(i);
+                    CHECK_FALSE(r.knows(i, "0"));
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("an instance whose relay does not help watches the store itself") {
+    struct row {
+        const char* name;
+        std::optional<relay_answer> answer;
+        bool helps;
+    };
+    const row rows[] = {
+        {"no answer", std::nullopt, false},
+        {"it does not watch", relay_answer{}, false},
+        {"its history is too short",
+         relay_answer{relay_status::behind, {40}, {}, {}}, false},
+        {"the store did not answer it lately",
+         relay_answer{relay_status::current, {40}, 1900ms, {}}, false},
+        {"it is current", relay_answer{relay_status::current, {40}, 300ms, {}},
+         true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        beliefs known({}, {});
+        follower f({{"c", "t/"}, "", bound}, decode, known,
+                   [](const change&, effect) {});
+        f.set_relay({relay_role::follower, base::instance_id("i-1"), {}});
+        auto now = start;
+        CHECK(f.start(now).size() == 1);
+        CHECK(f.on_listed(store::found_all{{}, {30}}, now).size() == 1);
+        CHECK(f.on_listed(store::found_all{{}, {30}}, now).size() == 1);
+        const auto asked =
+            f.on_watch(store::watch_changed{{written("t/a", 31)}}, now);
+        REQUIRE(asked.size() == 1);
+        const auto* a = std::get_if<follower::ask>(&asked.front());
+        REQUIRE(a != nullptr);
+        CHECK(a->request.known.value == 31);
+        // It is no relay itself meanwhile.
+        CHECK(f.answer({31}, true, now).status == relay_status::not_watching);
+        const auto then = f.on_relayed(r.answer, now);
+        REQUIRE(then.size() == 1);
+        const auto* again = std::get_if<follower::ask>(&then.front());
+        CHECK((again != nullptr) == r.helps);
+        if (r.helps) {
+            CHECK(again->request.known.value == 40);
+            continue;
+        }
+        const auto* w = std::get_if<follower::watch>(&then.front());
+        REQUIRE(w != nullptr);
+        CHECK(w->request.from.value == 32);
+        CHECK(f.on_watch(store::watch_changed{}, now + 1s).empty());
+        CHECK(f.on_watch(store::watch_changed{}, now + 5s).size() == 1);
+    }
+}
--- a/pollenreel/dispatch/rendezvous.hpp
+++ b/pollenreel/fleet/rendezvous.hpp
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <string_view>
 
-namespace pollenreel::dispatch {
+namespace pollenreel::fleet {
 
 // The candidate with the greatest score comes first for the key.
 [[nodiscard]] inline std::uint64_t
@@ -16,4 +16,4 @@
                  XXH64(candidate.data(), candidate.size(), 0));
 }
 
-} // namespace pollenreel::dispatch
+} // namespace pollenreel::fleet
--- a/pollenreel/fleet/view.hpp
+++ b/pollenreel/fleet/view.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace pollenreel::fleet {
@@ -36,6 +37,8 @@
     base::endpoint callers; // its callers' listener
     base::failure_domain_id failure_domain;
     base::region_id region;
+    // Where instances of its region ask what the store told it.
+    std::optional<base::endpoint> relay;
 
     friend bool operator==(const instance&, const instance&) = default;
 };
--- /dev/null
+++ b/pollenreel/relay/codec_test.cpp
@@ -0,0 +1,65 @@
+#include "pollenreel/relay/codec.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace pollenreel;
+using namespace std::chrono_literals;
+
+TEST_CASE("asks and answers survive their wire form") {
+    const auto ask = relay::decode_ask(relay::encode({{17}, 1500ms}));
+    REQUIRE(ask.has_value());
+    CHECK(ask->known.value == 17);
+    CHECK(ask->wait == 1500ms);
+
+    const fleet::relay_answer a{
+        fleet::relay_status::current,
+        {40},
+        120ms,
+        {{"t/a", {38}, store::entry{"t/a", std::string("\0x", 2), {38}, {}}},
+         {"t/b", {39}, std::nullopt}}};
+    const auto read = relay::decode_answer(relay::encode(a));
+    REQUIRE(read.has_value());
+    CHECK(read->status == fleet::relay_status::current);
+    CHECK(read->seen.value == 40);
+    CHECK(read->age == 120ms);
+    REQUIRE(read->changes.size() == 2);
+    CHECK(read->changes[0].key == "t/a");
+    CHECK(read->changes[0].at.value == 38);
+    REQUIRE(read->changes[0].value.has_value());
+    CHECK(read->changes[0].value->value == std::string("\0x", 2));
+    CHECK_FALSE(read->changes[1].value.has_value());
+}
+
+TEST_CASE("each status survives its wire form") {
+    for (const auto s :
+         {fleet::relay_status::current, fleet::relay_status::behind,
+          fleet::relay_status::not_watching}) {
+        const auto read = relay::decode_answer(relay::encode({s, {}, {}, {}}));
+        REQUIRE(read.has_value());
+        CHECK(read->status == s);
+    }
+}
+
+TEST_CASE("what is no ask or answer is refused") {
+    struct row {
+        const char* name;
+        http::request ask;
+        http::response answer;
+    };
+    const row rows[] = {
+        {"another path, another status",
+         {"POST", "/else", {}, ""},
+         {503, {}, ""}},
+        {"bytes that are no message",
+         {"POST", "/relay/changes", {}, "\xff\xff"},
+         {200, {}, "\xff\xff"}},
+        {"a status that is not known",
+         {"GET", "/", {}, ""},
+         {200, {}, std::string("\x08\x09", 2)}},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        CHECK_FALSE(relay::decode_ask(r.ask).has_value());
+        CHECK_FALSE(relay::decode_answer(r.answer).has_value());
+    }
+}
--- /dev/null
+++ b/pollenreel/relay/listener_test.cpp
@@ -0,0 +1,114 @@
+#include "pollenreel/http/client.hpp"
+#include "pollenreel/relay/codec.hpp"
+#include "pollenreel/relay/listener.hpp"
+#include "testing/ports.hpp"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+using namespace pollenreel;
+using namespace std::chrono_literals;
+
+namespace {
+
+class fixture {
+public:
+    fixture()
+        : at(testing::free_endpoint()), listener(io, at, clock,
+                                                 [this](store::revision known) {
+                                                     last_known = known.value;
+                                                     return next;
+                                                 }),
+          m_client(io) {
+        REQUIRE(listener.start().has_value());
+    }
+    void ask(std::string body_path = "") {
+        auto r = relay::encode({{7}, 800ms});
+        if (!body_path.empty()) {
+            r.path = body_path;
+        }
+        m_client.call(at, r, 5s, [this](const auto& a) {
+            REQUIRE(a.has_value());
+            status = a.value().status;
+            answer = relay::decode_answer(a.value());
+        });
+    }
+    // Lets messages arrive.
+    void settle(bool expect_answer) {
+        for (int i = 0; i < 500 && status == 0; ++i) {
+            io.run_for(std::chrono::milliseconds(expect_answer ? 10 : 1));
+            if (!expect_answer && i > 50) {
+                return;
+            }
+        }
+    }
+
+    boost::asio::io_context io;
+    base::manual_clock clock;
+    base::endpoint at;
+    fleet::relay_answer next{fleet::relay_status::current, {7}, {}, {}};
+    std::int64_t last_known = 0;
+    unsigned status = 0;
+    std::optional<fleet::relay_answer> answer;
+    relay::listener listener;
+
+private:
+    http::client m_client;
+};
+
+} // namespace
+
+TEST_CASE("an ask waits for the next report of the store, or its time") {
+    struct row {
+        const char* name;
+        bool report;
+        std::chrono::milliseconds passed;
+        bool answered;
+    };
+    const row rows[] = {
+        {"nothing happens", false, 700ms, false},
+        {"its time is over", false, 800ms, true},
+        {"the store reported", true, 0ms, true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        fixture f;
+        f.ask();
+        f.settle(false);
+        CHECK(f.last_known == 7);
+        CHECK(f.status == 0);
+        f.clock.advance(r.passed);
+        f.listener.tick();
+        if (r.report) {
+            f.next.seen = {9};
+            f.listener.on_progress();
+        }
+        f.settle(r.answered);
+        CHECK((f.status == 200) == r.answered);
+        if (r.report) {
+            REQUIRE(f.answer.has_value());
+            CHECK(f.answer->seen.value == 9);
+        }
+    }
+}
+
+TEST_CASE("an ask is answered at once when there is something to say") {
+    fixture f;
+    SUBCASE("changes") {
+        f.next.changes.push_back({"t/a", {8}, std::nullopt});
+    }
+    SUBCASE("it does not watch") {
+        f.next = {};
+    }
+    f.ask();
+    f.settle(true);
+    CHECK(f.status == 200);
+}
+
+TEST_CASE("what is no ask gets 400") {
+    fixture f;
+    f.ask("/else");
+    f.settle(true);
+    CHECK(f.status == 400);
+}
