--- a/testing/fleet.cpp
+++ b/testing/fleet.cpp
@@ -72,8 +72,17 @@
 
 int process::wait() {
     m_child->wait();
+    return *ended();
+}
+
+std::optional<int> process::ended() {
+    if (m_child->running()) {
+        return std::nullopt;
+    }
+    constexpr int signalled = 128;
     const int status = m_child->native_exit_code();
-    return WIFSIGNALED(status) ? 128 + WTERMSIG(status) : WEXITSTATUS(status);
+    return WIFSIGNALED(status) ? signalled + WTERMSIG(status)
+                               : WEXITSTATUS(status);
 }
 
 fleet::fleet(fleet_options o)
--- a/testing/fleet.hpp
+++ b/testing/fleet.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
     void signal(int number);
     // Waits for the end; the exit code, or 128 + signal.
     int wait();
+    // The same, empty while it runs.
+    [[nodiscard]] std::optional<int> ended();
 
 private:
     class child;
