Ask the relay right after the listing; try a lost watch less often

Change: the follower picks its relay itself from what it knows, so also right after its first listing. The watch's pauses grow to four seconds: renewals, at a tenth of the price, see the store's return within one.

--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -38,6 +38,7 @@
                                             const store_layout& l) {
     fleet::follower_options o;
     o.prefix = l.prefix;
+    o.self = s.self();
     o.bound = s.change_bound();
     return o;
 }
@@ -173,16 +174,14 @@
         }
     }
 
-    void choose_relay() {
-        const auto chosen =
-            fleet::choose_relay(m_beliefs.instances(), m_settings.self());
-        if (chosen == m_relay) {
+    void note_relay() {
+        const auto& relay = m_follower.relay();
+        if (relay == m_relay) {
             return;
         }
-        m_relay = chosen;
-        m_follower.set_relay(chosen);
-        m_log.info("relay_chosen", {{"role", fleet::to_string(chosen.role)},
-                                    {"relay", chosen.watcher.str()}});
+        m_relay = relay;
+        m_log.info("relay_chosen", {{"role", fleet::to_string(relay.role)},
+                                    {"relay", relay.watcher.str()}});
     }
 
     void call(const store::request& r, store::client::replied done) {
@@ -248,7 +247,7 @@
         // A view also tells when the store last answered.
         const bool confirmed = m_beliefs.contact_at() > m_published_contact;
         if (std::exchange(m_changed, false) || confirmed) {
-            choose_relay();
+            note_relay();
             m_published_contact = m_beliefs.contact_at();
             m_traffic.publish(m_beliefs.compile());
         }
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -17,6 +17,10 @@
 constexpr int relay_watch_percent = 45;
 constexpr int relay_patience_percent = 30;
 
+// Between two tries of a watch: the renewals of the instance's lease, at a
+// tenth of the price, see the store's return sooner.
+constexpr milliseconds longest_watch_pause{4000};
+
 // Whether a change says something new to those who know what was before it.
 bool matters(const change& c, effect e) {
     if (e == effect::changed || e == effect::deferred) {
@@ -49,7 +53,14 @@
     return m_options.bound * percent / 100;
 }
 
-follower::actions follower::follow() {
+follower::actions follower::follow(base::time_point now) {
+    m_relay = choose_relay(m_beliefs.instances(), m_options.self);
+    const bool relayed = m_relay.role == relay_role::follower &&
+                         now >= m_no_relay_until && !m_beliefs.restoring(now);
+    return relayed ? ask_relay() : watch_store();
+}
+
+follower::actions follower::watch_store() {
     m_asking = false;
     m_watching = watch_interval();
     return {watch{{m_options.prefix, true, {m_seen.value + 1}, *m_watching}}};
@@ -92,7 +103,7 @@
     for (const auto& [c, e] : m_beliefs.end_listing(now)) {
         m_told(c, e);
     }
-    return follow();
+    return follow(now);
 }
 
 void follower::apply(const store::key_change& c, base::time_point now) {
@@ -134,11 +145,10 @@
     m_beliefs.contact(now);
     m_backoff.reset();
     apply(r.changes, now);
-    if (m_relay.role == relay_role::follower && now >= m_no_relay_until &&
-        !m_beliefs.restoring(now)) {
-        return ask_relay();
-    }
-    return watch_interval() == *m_watching ? actions() : follow();
+    const auto interval = *m_watching;
+    auto next = follow(now);
+    // The open watch goes on by itself.
+    return m_watching == interval ? actions() : next;
 }
 
 follower::actions follower::on(const store::watch_compacted&,
@@ -148,7 +158,7 @@
 
 follower::actions follower::on(const store::watch_cut&, base::time_point now) {
     m_beliefs.contact_lost(now);
-    m_retry_at = now + m_backoff.next();
+    m_retry_at = now + m_backoff.next(longest_watch_pause);
     return {};
 }
 
@@ -162,12 +172,12 @@
     if (!a || a->status != relay_status::current || a->age > oldest) {
         // Says nothing of the store: this instance may still reach it.
         m_no_relay_until = now + m_options.relay_pause;
-        return follow();
+        return watch_store();
     }
     m_beliefs.contact(now - a->age);
     apply(a->changes, now);
     m_seen = std::max(m_seen, a->seen);
-    return m_relay.role == relay_role::follower ? ask_relay() : follow();
+    return follow(now);
 }
 
 relay_answer follower::answer(store::revision known, bool store_reached,
@@ -192,7 +202,7 @@
     m_retry_at.reset();
     m_backoff.reset();
     m_beliefs.contact(now);
-    return follow();
+    return watch_store();
 }
 
 follower::actions follower::tick(base::time_point now) {
@@ -200,7 +210,7 @@
         return {};
     }
     m_retry_at.reset();
-    return m_seen.value == 0 ? start(now) : follow();
+    return m_seen.value == 0 ? start(now) : watch_store();
 }
 
 } // namespace pollenreel::fleet
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -6,7 +6,6 @@
 //
 //   follower f(options, decoder, beliefs, observer);
 //   run(f.start(now));
-//   f.set_relay(choose_relay(live, self));
 //   run(f.on_listed(reply, now));
 //   run(f.on_watch(report, now));
 //   run(f.on_relayed(answer, now));
@@ -30,6 +29,7 @@
 
 struct follower_options {
     std::string prefix; // of all keys of concern
+    instance self;
     // A departure has to be known within this, whatever is lost on the way.
     std::chrono::milliseconds bound{};
     // A relay that failed is not asked again for this long; until then the
@@ -60,8 +60,6 @@
     follower(follower_options o, decoder d, beliefs& b, observer told);
 
     [[nodiscard]] actions start(base::time_point now);
-    // Takes effect with the next report or answer.
-    void set_relay(const relay_choice& r) { m_relay = r; }
     // The answer to the last `list`.
     [[nodiscard]] actions on_listed(const store::reply& r,
                                     base::time_point now);
@@ -76,6 +74,8 @@
     [[nodiscard]] actions on_store_regained(base::time_point now);
     // To be called a few times a second.
     [[nodiscard]] actions tick(base::time_point now);
+    // Whom the instance relies on, by what it knew last.
+    [[nodiscard]] const relay_choice& relay() const { return m_relay; }
     [[nodiscard]] bool listing() const { return m_listing; }
 
     // What another instance that asks is to be told; `store_reached`: the
@@ -91,8 +91,10 @@
     void apply(const store::key_change& c, base::time_point now);
     void apply(const std::vector<store::key_change>& all, base::time_point now);
     // Watches the store from what is known.
-    actions follow();
+    actions watch_store();
     actions ask_relay();
+    // One of the two.
+    actions follow(base::time_point now);
     [[nodiscard]] std::chrono::milliseconds watch_interval() const;
 
     follower_options m_options;
--- a/pollenreel/fleet/retry_backoff.hpp
+++ b/pollenreel/fleet/retry_backoff.hpp
@@ -18,9 +18,10 @@
     // Half of the time in which entries that lapsed in an outage are back.
     static constexpr std::chrono::milliseconds longest{1000};
 
-    [[nodiscard]] std::chrono::milliseconds next() {
-        const auto now = m_next;
-        m_next = std::min(longest, m_next * 2);
+    [[nodiscard]] std::chrono::milliseconds
+    next(std::chrono::milliseconds most = longest) {
+        const auto now = std::min(m_next, most);
+        m_next = std::min(m_next * 2, most);
         return now;
     }
     void reset() { m_next = first; }
