--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -23,6 +23,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds tick_period{100};
+// A relay that died is announced until its lease ends and a watch returns.
+constexpr milliseconds relay_pause_margin{1500};
 // The process ends this long before it is ended from outside.
 constexpr milliseconds stop_margin{500};
 // How often the settings file is looked at for a change without a signal.
@@ -39,6 +41,7 @@
     fleet::follower_options o;
     o.prefix = l.prefix;
     o.self = s.self();
+    o.relay_pause = s.stable_window + relay_pause_margin;
     o.bound = s.change_bound();
     return o;
 }
@@ -77,8 +80,9 @@
                          on_change(c, e);
                      }),
           m_relay_client(io, relay_answer_limits, relay_connect_timeout),
-          m_announcer(
-              {m_options.layout.announce_key, m_options.layout.announce_value}),
+          m_announcer({m_options.layout.announce_key,
+                       m_options.layout.announce_value,
+                       m_settings.stable_window}),
           m_settings_stamp(file_stamp(m_options.settings_path)) {}
 
     void run() {
--- a/pollenreel/entry/settings.cpp
+++ b/pollenreel/entry/settings.cpp
@@ -97,6 +97,15 @@
         [](settings& s, text v) {
             return store_duration(s.heartbeat_interval, v, 100ms, 60s);
         }},
+    row{"fleet.stable_window", "1s-600s", "3s",
+        "lifetime of an instance's entry in the store once it is not renewed",
+        [](settings& s, text v) {
+            std::chrono::milliseconds read{};
+            const bool good = store_duration(read, v, 1s, 600s);
+            s.stable_window =
+                std::chrono::duration_cast<std::chrono::seconds>(read);
+            return good;
+        }},
     row{"store.endpoint", endpoint_allowed, std::nullopt,
         "the platform's key-value service",
         [](settings& s, text v) { return store_endpoint(s.store, v); }},
--- a/pollenreel/entry/settings.hpp
+++ b/pollenreel/entry/settings.hpp
@@ -34,6 +34,9 @@
     // [fleet]
     fleet::regions_of regions;
     std::chrono::milliseconds heartbeat_interval{};
+    // An instance that died may be named to callers for this long and three
+    // seconds more, as the users' rules say.
+    std::chrono::seconds stable_window{};
     // [store]
     base::endpoint store;
     std::string key_prefix;
--- a/pollenreel/fleet/announcer.cpp
+++ b/pollenreel/fleet/announcer.cpp
@@ -52,13 +52,13 @@
                            m_state = state::leased;
                            m_next_at = now;
                        } else {
-                           m_next_at = now + m_options.renew_interval;
+                           m_next_at = now + m_options.renew_interval();
                        }
                    },
                    [&](const store::swapped&) {
                        m_backoff.reset();
                        m_state = state::announced;
-                       m_next_at = now + m_options.renew_interval;
+                       m_next_at = now + m_options.renew_interval();
                    },
                    [&](const store::conflicting& c) {
                        m_expected =
--- a/pollenreel/fleet/announcer.hpp
+++ b/pollenreel/fleet/announcer.hpp
@@ -20,10 +20,14 @@
     std::string key;
     std::string value;
     // A dead instance is named to callers for at most this long and the time
-    // of a watch. The users allow three seconds beyond their stable window.
+    // of a watch.
     std::chrono::seconds time_to_live{3};
-    // A third of the lease: two renewals may be lost.
-    std::chrono::milliseconds renew_interval{1000};
+
+    // One renewal may be lost, and tried again.
+    [[nodiscard]] std::chrono::milliseconds renew_interval() const {
+        constexpr int percent = 40;
+        return std::chrono::milliseconds(time_to_live) * percent / 100;
+    }
 };
 
 class announcer {
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -34,7 +34,7 @@
     std::chrono::milliseconds bound{};
     // A relay that failed is not asked again for this long; until then the
     // store is watched. Longer than an instance that died stays announced.
-    std::chrono::milliseconds relay_pause{4000};
+    std::chrono::milliseconds relay_pause{4500};
 };
 
 class follower {
