Split the soak's fleet, the relay's tests and its asker from their files

Cause: control.cpp, the soak's fleet.cpp and relay_test.cpp had grown past one job. Moved without a change of behaviour: relay::asker keeps the client, the number of the ask that counts and the words for the log; the soak's faults stand apart from its probes; the tests of many instances apart from the parts.

--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -3,8 +3,7 @@
 #include "pollenreel/base/overloaded.hpp"
 #include "pollenreel/entry/change_log.hpp"
 #include "pollenreel/fleet/announcer.hpp"
-#include "pollenreel/http/client.hpp"
-#include "pollenreel/relay/codec.hpp"
+#include "pollenreel/relay/asker.hpp"
 #include "pollenreel/relay/listener.hpp"
 
 #include <boost/asio/post.hpp>
@@ -46,11 +45,6 @@
     return o;
 }
 
-// Between instances of a region a connection takes a few milliseconds.
-constexpr milliseconds relay_connect_timeout{300};
-// The largest value of the store and some.
-constexpr http::limits relay_answer_limits{8 * 1024, 8ULL * 1024 * 1024};
-
 // Changes whenever the file is written or replaced.
 std::pair<std::int64_t, std::uint64_t> file_stamp(const std::string& path) {
     struct stat found {};
@@ -79,10 +73,9 @@
                      [this](const fleet::change& c, fleet::effect e) {
                          on_change(c, e);
                      }),
-          m_relay_client(io, relay_answer_limits, relay_connect_timeout),
-          m_announcer({m_options.layout.announce_key,
-                       m_options.layout.announce_value,
-                       m_settings.stable_window}),
+          m_asker(io), m_announcer({m_options.layout.announce_key,
+                                    m_options.layout.announce_value,
+                                    m_settings.stable_window}),
           m_settings_stamp(file_stamp(m_options.settings_path)) {}
 
     void run() {
@@ -110,7 +103,7 @@
     }
 
     void run(const fleet::follower::watch& w) {
-        ++m_asks; // an ask that is under way is answered in vain
+        m_asker.cancel();
         m_watch = m_store.open(
             w.request, [this](const store::watch_report& r) { on_report(r); });
     }
@@ -118,45 +111,23 @@
     void run(const fleet::follower::ask& a) {
         m_watch.reset();
         ++m_counts.relay_asks;
-        m_relay_client.call(
-            a.at, relay::encode(a.request), a.timeout,
-            [this, number = ++m_asks](const base::result<http::response>& r) {
-                if (number == m_asks) {
-                    on_relayed(r);
-                }
-            });
+        m_asker.ask(a.at, a.request, a.timeout,
+                    [this](const std::optional<fleet::relay_answer>& r) {
+                        on_relayed(r);
+                    });
     }
 
-    void on_relayed(const base::result<http::response>& r) {
-        const auto answer = r ? relay::decode_answer(r.value()) : std::nullopt;
+    void on_relayed(const std::optional<fleet::relay_answer>& answer) {
         const auto actions = m_follower.on_relayed(answer, m_clock.now());
         if (!actions.empty() &&
             std::holds_alternative<fleet::follower::watch>(actions.front())) {
             ++m_counts.relay_failures;
-            m_log.info("relay_left",
-                       {{"relay", m_relay.watcher.str()},
-                        {"problem", r ? problem_of(answer)
-                                      : std::string_view("no answer")}});
+            m_log.info("relay_left", {{"relay", m_relay.watcher.str()},
+                                      {"problem", relay::problem_of(answer)}});
         }
         run(actions);
     }
 
-    static std::string_view
-    problem_of(const std::optional<fleet::relay_answer>& a) {
-        if (!a) {
-            return "unreadable";
-        }
-        switch (a->status) {
-        case fleet::relay_status::behind:
-            return "behind";
-        case fleet::relay_status::not_watching:
-            return "not watching";
-        case fleet::relay_status::current:
-            break;
-        }
-        return "old, or another one is asked";
-    }
-
     void start_relay() {
         if (!m_settings.relay) {
             return;
@@ -376,10 +347,9 @@
     boost::asio::signal_set m_signals;
     fleet::beliefs m_beliefs;
     fleet::follower m_follower;
-    http::client m_relay_client;
+    relay::asker m_asker;
     std::optional<relay::listener> m_relay_listener;
     fleet::relay_choice m_relay;
-    std::uint64_t m_asks = 0; // of relays
     fleet::announcer m_announcer;
     std::unique_ptr<store::open_watch> m_watch;
     std::pair<std::int64_t, std::uint64_t> m_settings_stamp;
--- /dev/null
+++ b/pollenreel/fleet/relay_test_support.hpp
@@ -0,0 +1,52 @@
+// Changes and instances for the tests of relays.
+#pragma once
+
+#include "pollenreel/fleet/follower.hpp"
+
+#include <chrono>
+#include <string>
+
+namespace pollenreel::fleet::testing {
+
+inline const base::time_point start{std::chrono::hours(1)};
+constexpr std::chrono::milliseconds bound{2500};
+
+inline store::key_change written(const std::string& key,
+                                 std::int64_t revision) {
+    return {key, {revision}, store::entry{key, "", {revision}, {}}};
+}
+inline store::key_change removed(const std::string& key,
+                                 std::int64_t revision) {
+    return {key, {revision}, std::nullopt};
+}
+
+inline instance member(const std::string& id, const std::string& region) {
+    instance i;
+    i.id = base::instance_id(id);
+    i.region = base::region_id(region);
+    i.relay = base::endpoint{"127.0.0.1", 1};
+    return i;
+}
+
+// Keys "t/ID" are targets, "i/ID" instances; "c" holds the configuration.
+inline change decode(const store::key_change& c) {
+    if (c.key == "c") {
+        configuration_written w;
+        w.configuration.version = base::config_version(1);
+        return w;
+    }
+    if (c.key.starts_with("i/")) {
+        const auto name = c.key.substr(2);
+        return c.value ? change(instance_written{member(name, "a")})
+                       : change(instance_removed{base::instance_id(name)});
+    }
+    const base::target_id id(c.key.substr(2));
+    if (!c.value) {
+        return target_removed{id};
+    }
+    target_report r;
+    r.id = id;
+    return target_written{r};
+}
+
+} // namespace pollenreel::fleet::testing
