See the end of an outage soon again

With pauses of one second between renewals it saw the end of the cut after 1.25 s, held the lapsed entry for two seconds more, and so used the target after its stable window of three.

Ruled out: the relay (the instance was cut off from all), the lost history (the listing came 0.1 s after the renewal was answered).

Change: pauses between renewals and listings are at most 0.4 s; those between watches still grow to four seconds.

--- a/pollenreel/fleet/retry_backoff.hpp
+++ b/pollenreel/fleet/retry_backoff.hpp
@@ -15,8 +15,11 @@
 class retry_backoff {
 public:
     static constexpr std::chrono::milliseconds first{250};
-    // Half of the time in which entries that lapsed in an outage are back.
-    static constexpr std::chrono::milliseconds longest{1000};
+    // Entries that lapsed in an outage are held for two seconds from when its
+    // end is seen, and have to be dropped within the shortest stable window of
+    // the users, 3 s: what remains is for this pause, a connect time-out of
+    // 300 ms and the way between regions.
+    static constexpr std::chrono::milliseconds longest{400};
 
     [[nodiscard]] std::chrono::milliseconds
     next(std::chrono::milliseconds most = longest) {
