--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -58,6 +58,7 @@
 
 TEST_CASE("instances of a region agree on the one that watches") {
     std::vector<instance> live;
+    live.reserve(7);
     for (int i = 0; i < 6; ++i) {
         live.push_back(member("i-" + std::to_string(i), i < 4 ? "a" : "b"));
     }
