--- a/pollenreel/fleet/relay_region_test.cpp
+++ b/pollenreel/fleet/relay_region_test.cpp
@@ -293,7 +293,8 @@
     r.advance(5s);
     const int before = r.store_calls;
     r.reports = false; // they would bring back what left
-    for (int i = 0; i < 5; ++i) {
+    constexpr std::int64_t losses = 5;
+    for (std::int64_t i = 0; i < losses; ++i) {
         // A target leaves while nobody hears of it.
         r.remove("t/" + std::to_string(i));
         r.forget();
@@ -304,7 +305,7 @@
         }
     }
     // The watcher's watch, and two calls each time the history was lost.
-    CHECK(r.store_calls - before <= 15s / (bound * 45 / 100) + 1 + 5 * 2);
+    CHECK(r.store_calls - before <= 15s / (bound * 45 / 100) + 1 + losses * 2);
 }
 
 TEST_CASE("a departure is known within its bound whatever the relay does") {
