Tell what was written in a lost history though it looks alike

An instance's entry lapsed and was written again while the history was lost. The watcher, listing anew, found the entry as it knew it and told nobody; one that had listed in between had seen the entry gone.

--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -101,7 +101,12 @@
     const bool first = m_seen.value == 0;
     auto newest = all->at;
     for (const auto& e : all->entries) {
-        apply({e.key, e.modified, e}, now);
+        const store::key_change c{e.key, e.modified, e};
+        apply(c, now);
+        // It may have gone and come back, which others may have seen in part.
+        if (!first && e.modified > m_seen) {
+            m_journal.add(c);
+        }
         newest = std::max(newest, e.modified);
     }
     m_listing = false;
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -201,3 +201,19 @@
     CHECK(second.seen.value == 45);
     CHECK(revisions(second.changes) == std::vector<std::int64_t>{43, 45});
 }
+
+// Found by the same run: an entry had lapsed and was written again while the
+// history was lost. The watcher saw no change, one that asked had seen the gap.
+TEST_CASE("what was written in a lost history is told though it looks alike") {
+    beliefs known({}, {});
+    follower f({"", member("i-1", "b"), bound}, decode, known,
+               [](const change&, effect) {});
+    CHECK(f.start(start).size() == 1);
+    CHECK(f.on_listed(store::found_all{{{"i/i-2", "", {30}, {}}}, {31}}, start)
+              .size() == 1);
+    CHECK(f.on_watch(store::watch_compacted{}, start).size() == 1);
+    CHECK(f.on_listed(store::found_all{{{"i/i-2", "", {50}, {}}}, {55}}, start)
+              .size() == 1);
+    CHECK(revisions(f.answer({45}, true, start).changes) ==
+          std::vector<std::int64_t>{50});
+}
