--- a/pollenreel/fleet/follower_test.cpp
+++ b/pollenreel/fleet/follower_test.cpp
@@ -1,4 +1,4 @@
-#include "pollenreel/fleet/follower.hpp"
+#include "pollenreel/fleet/relay_test_support.hpp"
 
 #include <doctest/doctest.h>
 
@@ -7,43 +7,15 @@
 
 using namespace pollenreel;
 using namespace pollenreel::fleet;
+using namespace pollenreel::fleet::testing;
 using namespace std::chrono_literals;
 
 namespace {
 
-const base::time_point start{std::chrono::hours(1)};
-
-// Keys "t/ID" are targets, "c" holds the configuration.
-change decode(const store::key_change& c) {
-    if (c.key == "c" && c.value) {
-        configuration_written w;
-        w.configuration.version = base::config_version(1);
-        return w;
-    }
-    if (!c.key.starts_with("t/")) {
-        return unrelated{};
-    }
-    const base::target_id id(c.key.substr(2));
-    if (!c.value) {
-        return target_removed{id};
-    }
-    target_report r;
-    r.id = id;
-    return target_written{r};
-}
-
 store::entry entry(const std::string& key, std::int64_t revision) {
     return {key, "", {revision}, {}};
 }
 
-store::key_change written(const std::string& key, std::int64_t revision) {
-    return {key, {revision}, entry(key, revision)};
-}
-
-store::key_change removed(const std::string& key, std::int64_t revision) {
-    return {key, {revision}, std::nullopt};
-}
-
 class fixture {
 public:
     fixture()
--- a/pollenreel/fleet/relay_test_support.hpp
+++ b/pollenreel/fleet/relay_test_support.hpp
@@ -1,4 +1,4 @@
-// Changes and instances for the tests of relays.
+// Changes and instances for the tests of followers.
 #pragma once
 
 #include "pollenreel/fleet/follower.hpp"
