--- a/pollenreel/entry/change_log.cpp
+++ b/pollenreel/entry/change_log.cpp
@@ -24,8 +24,8 @@
 
 } // namespace
 
-void log_change(const log::logger& log, const fleet::change& c,
-                fleet::effect e) {
+void log_change(const log::logger& log, const fleet::change& c, fleet::effect e,
+                const change_origin& origin) {
     if (const auto* bad = std::get_if<fleet::unreadable>(&c)) {
         return log.warning("entry_unreadable",
                            {{"key", bad->key}, {"problem", bad->problem}});
@@ -44,16 +44,27 @@
                             {"failure_domain", t.report.failure_domain.str()},
                             {"draining", t.report.draining},
                             {"cold_for_ms", t.report.cold_for.count()},
+                            {"source", fleet::to_string(origin.source)},
+                            {"previous_contact_age_ms",
+                             origin.previous_contact_age.count()},
                             {"effect", what}});
                    },
                    [&](const fleet::target_removed& t) {
                        log.info("target_removed",
-                                {{"target", t.id.str()}, {"effect", what}});
+                                {{"target", t.id.str()},
+                                 {"source", fleet::to_string(origin.source)},
+                                 {"previous_contact_age_ms",
+                                  origin.previous_contact_age.count()},
+                                 {"effect", what}});
                    },
                    [&](const fleet::configuration_written& w) {
                        log.info("configuration_received",
                                 {{"version", w.configuration.version.value()},
                                  {"routes", w.configuration.routes.size()},
+                                 {"bytes", w.encoded_bytes},
+                                 {"source", fleet::to_string(origin.source)},
+                                 {"previous_contact_age_ms",
+                                  origin.previous_contact_age.count()},
                                  {"effect", what}});
                    },
                    [&](const fleet::evacuation_begun& d) {
--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -110,6 +110,7 @@
 
     void run(const fleet::follower::poll& a) {
         m_watch.reset();
+        m_polled_at = m_clock.now();
         ++m_counts.relay_asks;
         m_asker.poll(a.endpoint, a.request, a.timeout,
                      [this](const std::optional<fleet::relay_response>& r) {
@@ -125,7 +126,10 @@
             ++m_counts.relay_failures;
             m_log.info("relay_left",
                        {{"relay", m_relay.watcher.str()},
-                        {"problem", relay::failure_reason(answer)}});
+                        {"problem", relay::failure_reason(answer)},
+                        {"waited_ms", std::chrono::duration_cast<milliseconds>(
+                                          m_clock.now() - m_polled_at)
+                                          .count()}});
         }
         run(actions);
     }
@@ -150,6 +154,7 @@
         if (m_relay_listener) {
             m_relay_listener->on_progress();
             m_counts.relay_answers = m_relay_listener->response_count();
+            m_counts.relay_answer_bytes = m_relay_listener->response_bytes();
         }
     }
 
@@ -214,7 +219,10 @@
         if (std::holds_alternative<fleet::unreadable>(c)) {
             ++m_counts.unreadable_entries;
         }
-        log_change(m_log, c, e);
+        log_change(
+            m_log, c, e,
+            {m_follower.source(), std::chrono::duration_cast<milliseconds>(
+                                      m_clock.now() - m_published_contact)});
         const auto* gone = std::get_if<fleet::instance_removed>(&c);
         if (gone != nullptr && gone->id == m_settings.id) {
             m_announcer.on_key_removed(m_clock.now());
@@ -361,6 +369,7 @@
     std::uint64_t m_reported_drops = 0;
     bool m_changed = false;
     base::time_point m_published_contact{};
+    base::time_point m_polled_at{}; // the relay
     bool m_store_reached = true;
     std::optional<base::time_point> m_stop_at;
 };
--- a/pollenreel/entry/traffic.hpp
+++ b/pollenreel/entry/traffic.hpp
@@ -23,6 +23,7 @@
     std::atomic<std::uint64_t> relay_asks{0};     // of this instance
     std::atomic<std::uint64_t> relay_failures{0}; // of them, of no use
     std::atomic<std::uint64_t> relay_answers{0};  // to others
+    std::atomic<std::uint64_t> relay_answer_bytes{0};
 };
 
 class traffic {
--- a/pollenreel/entry/traffic_metrics.cpp
+++ b/pollenreel/entry/traffic_metrics.cpp
@@ -87,6 +87,9 @@
     page.counter("pollenreel_relay_answers_total",
                  "Answers to other instances that asked for changes.",
                  c.relay_answers);
+    page.counter("pollenreel_relay_answer_bytes_total",
+                 "Bytes in answers to other instances that asked for changes.",
+                 c.relay_answer_bytes);
 }
 
 } // namespace
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -36,11 +36,30 @@
 
 } // namespace
 
+std::string_view to_string(change_source s) {
+    switch (s) {
+    case change_source::listing:
+        return "listing";
+    case change_source::store_watch:
+        return "store_watch";
+    case change_source::relay:
+        break;
+    }
+    return "relay";
+}
+
 follower::follower(follower_options o, decoder d, fleet_state& state,
                    observer on_change)
     : m_options(std::move(o)), m_decoder(std::move(d)), m_state(state),
       m_observer(std::move(on_change)) {}
 
+change_source follower::source() const {
+    if (m_listing) {
+        return change_source::listing;
+    }
+    return m_polling_relay ? change_source::relay : change_source::store_watch;
+}
+
 follower::actions follower::start(base::time_point) {
     m_retry_at.reset();
     m_open_watch_interval.reset();
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -24,6 +24,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -40,6 +41,10 @@
     std::chrono::milliseconds relay_retry_delay{4500};
 };
 
+// How the follower currently receives changes.
+enum class change_source { listing, store_watch, relay };
+[[nodiscard]] std::string_view to_string(change_source s);
+
 class follower {
 public:
     struct list {
@@ -82,6 +87,7 @@
     // The current choice of relay.
     [[nodiscard]] const relay_choice& relay() const { return m_relay; }
     [[nodiscard]] bool is_listing() const { return m_listing; }
+    [[nodiscard]] change_source source() const;
 
     // Builds the response to another instance's poll. `is_store_reachable`:
     // whether the last call to the store succeeded.
--- a/pollenreel/fleet/messages.hpp
+++ b/pollenreel/fleet/messages.hpp
@@ -36,6 +36,7 @@
 };
 struct configuration_written {
     routes::configuration configuration;
+    std::size_t encoded_bytes = 0; // of the value in the store
 };
 struct evacuation_begun {
     base::failure_domain_id failure_domain;
--- a/pollenreel/relay/listener.cpp
+++ b/pollenreel/relay/listener.cpp
@@ -39,20 +39,25 @@
     const bool has_no_news = response.status == fleet::relay_status::current &&
                              response.changes.empty();
     if (!has_no_news) {
-        ++m_response_count;
-        return respond(encode(response));
+        return send(respond, response);
     }
     if (m_pending_polls.size() >= max_pending_polls) {
-        ++m_response_count;
-        return respond(encode(fleet::relay_response{}));
+        return send(respond, fleet::relay_response{});
     }
     m_pending_polls.push_back(
         {*request, m_clock.now() + request->max_wait, std::move(respond)});
 }
 
 void listener::respond_to(const pending_poll& poll) {
+    send(poll.respond, m_source(poll.request.known_revision));
+}
+
+void listener::send(const http::responder& respond,
+                    const fleet::relay_response& response) {
+    auto encoded = encode(response);
     ++m_response_count;
-    poll.respond(encode(m_source(poll.request.known_revision)));
+    m_response_bytes += encoded.body.size();
+    respond(std::move(encoded));
 }
 
 void listener::on_progress() {
--- a/pollenreel/relay/listener.hpp
+++ b/pollenreel/relay/listener.hpp
@@ -41,6 +41,9 @@
     [[nodiscard]] std::uint64_t response_count() const {
         return m_response_count;
     }
+    [[nodiscard]] std::uint64_t response_bytes() const {
+        return m_response_bytes;
+    }
 
 private:
     struct pending_poll {
@@ -51,12 +54,15 @@
 
     void on_request(const http::request& r, http::responder respond);
     void respond_to(const pending_poll& poll);
+    void send(const http::responder& respond,
+              const fleet::relay_response& response);
 
     const base::clock& m_clock;
     response_source m_source;
     http::server m_server;
     std::list<pending_poll> m_pending_polls;
     std::uint64_t m_response_count = 0;
+    std::uint64_t m_response_bytes = 0; // bodies
 };
 
 } // namespace pollenreel::relay
