Bound the age of a follower's state over several polls of its relay

Cause: ages added up. A relay's response may be 0.75 of the bound old, and the next poll waited another 0.75, so a relay whose watch had fallen silent kept its followers for 1.2 times the bound. And a watch paused for its minimum interval and then waited for its maximum one, against its interface: a healthy watcher's last contact could be 0.9 of the bound old.

Change: a poll waits for what is left of the state's maximum age, and the store is watched directly if that is too little. An older report of a relay no longer moves the last contact back.

--- a/pollenreel/fleet/fleet_state.cpp
+++ b/pollenreel/fleet/fleet_state.cpp
@@ -161,7 +161,8 @@
         m_restore_deadline = now + m_options.restore_time;
     }
     m_contact_lost_at.reset();
-    m_last_contact_at = now;
+    // A relay's report may be older than what is known.
+    m_last_contact_at = std::max(m_last_contact_at, now);
 }
 
 void fleet_state::on_contact_lost(base::time_point) {
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -19,6 +19,8 @@
 // store themselves.
 constexpr int relay_watch_percent = 45;
 constexpr int relay_timeout_percent = 30;
+// A poll that could wait for no longer than this is not worth sending.
+constexpr int min_poll_percent = 15;
 
 // Watches may be retried rarely: lease renewals, which cost a tenth of a watch,
 // detect the store's return sooner.
@@ -81,7 +83,7 @@
     const bool use_relay = m_relay.role == relay_role::follower &&
                            now >= m_relay_retry_at &&
                            !m_state.is_restoring(now);
-    return use_relay ? poll_relay() : watch_store();
+    return use_relay ? poll_relay(now) : watch_store();
 }
 
 follower::actions follower::watch_store() {
@@ -100,16 +102,31 @@
     return {watch{std::move(w)}};
 }
 
-follower::actions follower::poll_relay() {
+milliseconds follower::max_contact_age() const {
+    return m_options.departure_bound *
+           (relay_watch_percent + relay_timeout_percent) / 100;
+}
+
+follower::actions follower::poll_relay(base::time_point now) {
+    // The state is already as old as the last contact, so only the rest of its
+    // maximum age is left to wait.
+    const auto age = std::chrono::duration_cast<milliseconds>(
+        now - m_state.last_contact_at());
+    const auto timeout = max_contact_age() - age;
+    if (timeout < m_options.departure_bound * min_poll_percent / 100) {
+        return leave_relay(now);
+    }
     m_open_watch_interval.reset();
     m_polling_relay = true;
-    const auto until = [&](int percent) {
-        return m_options.departure_bound * (relay_watch_percent + percent) /
-               100;
-    };
-    return {poll{m_relay.endpoint,
-                 {m_seen_revision, until(relay_timeout_percent / 2)},
-                 until(relay_timeout_percent)}};
+    // The relay's response needs time to arrive.
+    const auto max_wait =
+        timeout - m_options.departure_bound * min_poll_percent / 100;
+    return {poll{m_relay.endpoint, {m_seen_revision, max_wait}, timeout}};
+}
+
+follower::actions follower::leave_relay(base::time_point now) {
+    m_relay_retry_at = now + m_options.relay_retry_delay;
+    return watch_store();
 }
 
 follower::actions follower::on_list_reply(const store::reply& r,
@@ -235,12 +252,10 @@
     if (m_listing || !m_polling_relay) {
         return {};
     }
-    const auto oldest = m_options.departure_bound *
-                        (relay_watch_percent + relay_timeout_percent) / 100;
-    if (!a || a->status != relay_status::current || a->age > oldest) {
+    if (!a || a->status != relay_status::current ||
+        a->age > max_contact_age()) {
         // The store itself may still be reachable from this instance.
-        m_relay_retry_at = now + m_options.relay_retry_delay;
-        return watch_store();
+        return leave_relay(now);
     }
     m_state.on_contact(now - a->age);
     apply(a->changes, now);
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -106,7 +106,11 @@
     void journal_removed_keys(const store::found_all& listed);
     // Watches the store from the revision after the last known one.
     actions watch_store();
-    actions poll_relay();
+    actions poll_relay(base::time_point now);
+    // Watches the store instead of polling the relay, for a while.
+    actions leave_relay(base::time_point now);
+    // The state may be no older than this; then the store is asked directly.
+    [[nodiscard]] std::chrono::milliseconds max_contact_age() const;
     // Polls the relay if there is one to use, else watches the store.
     actions follow(base::time_point now);
     [[nodiscard]] std::chrono::milliseconds watch_interval() const;
--- a/pollenreel/fleet/relay_region_test.cpp
+++ b/pollenreel/fleet/relay_region_test.cpp
@@ -101,6 +101,7 @@
     std::set<std::size_t> dead;    // neither sends nor responds
     std::set<std::size_t> silent;  // does not respond to other instances
     std::set<std::size_t> cut_off; // from the store
+    std::set<std::size_t> stalled; // their watches neither report nor end
     // Watches from this revision or earlier are reported as compacted.
     std::int64_t compacted_revision = 0;
     double loss_rate = 0;       // of messages between instances, 0 to 1
@@ -118,6 +119,7 @@
         follower follow;
         std::optional<follower::watch> open_watch; // as requested
         base::time_point watch_started_at{};
+        base::time_point reported_at{};
         base::time_point next_return{};
         std::uint64_t last_request = 0;
         // When its link has sent, or received, what is under way.
@@ -199,6 +201,7 @@
         ++m_members[i]->last_request;
         m_members[i]->open_watch = w;
         m_members[i]->watch_started_at = m_now;
+        m_members[i]->reported_at = m_now;
         m_members[i]->next_return = m_now + 10ms;
     }
     void begin(std::size_t i, const follower::poll& a) {
@@ -256,12 +259,11 @@
     [[nodiscard]] bool is_idle(const node& n) const {
         const auto& w = n.open_watch->request;
         return w.from.value > m_revision && w.from.value > compacted_revision &&
-               m_now <
-                   n.watch_started_at + w.max_report_interval.value_or(3000ms);
+               m_now < n.reported_at + w.max_report_interval.value_or(3000ms);
     }
     void return_watch(std::size_t i) {
         auto& n = *m_members[i];
-        if (is_idle(n) && !cut_off.contains(i)) {
+        if (stalled.contains(i) || (is_idle(n) && !cut_off.contains(i))) {
             return;
         }
         ++store_calls;
@@ -283,8 +285,11 @@
             }
         }
         n.open_watch->request.from = {m_revision + 1};
+        n.reported_at = m_now;
         n.watch_started_at =
-            std::max(m_now, n.watch_started_at + w.request.min_interval);
+            r.changes.empty()
+                ? m_now
+                : std::max(m_now, n.watch_started_at + w.request.min_interval);
         n.next_return = n.watch_started_at;
         // The store sends values in base64, which takes four bytes for three.
         const auto takes =
@@ -395,6 +400,8 @@
          [](simulated_region& r) { r.silent.insert(r.watcher()); }, 0},
         {"the relay is cut off from the store",
          [](simulated_region& r) { r.cut_off.insert(r.watcher()); }, 0},
+        {"the relay's watch falls silent",
+         [](simulated_region& r) { r.stalled.insert(r.watcher()); }, 0},
         {"messages are lost", [](simulated_region&) {}, 0.3},
         {"messages are lost and the relay dies",
          [](simulated_region& r) { r.dead.insert(r.watcher()); }, 0.3},
@@ -413,7 +420,8 @@
             r.remove("t/0");
             r.advance(departure_bound);
             for (std::size_t i = 0; i < r.size(); ++i) {
-                if (!r.dead.contains(i) && !r.cut_off.contains(i)) {
+                if (!r.dead.contains(i) && !r.cut_off.contains(i) &&
+                    !r.stalled.contains(i)) {
                     CAPTURE(i);
                     CHECK_FALSE(r.knows(i, "0"));
                 }
