Send large values apart from the other changes of a relay's response

Cause: a configuration of some hundred kilobytes went out inside the response to every poll, so departures waited behind it on the relay's link and on the follower's, and a poll's time-out had to cover the transfer.

Change: values over 8 KB are sent as references; the follower fetches the value from the relay on a second connection while it polls on. A relay sends what its link carries in 0.15 of the bound (send_budget); beyond that, or after 0.25 of the bound, the follower reads the key from the store. Followers that do not accept references get values as before.

--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -118,6 +118,20 @@
                      });
     }
 
+    void run(const fleet::follower::read& r) {
+        call(store::read{r.key}, [this, key = r.key](const store::reply& a) {
+            run(m_follower.on_read_reply(key, a, m_clock.now()));
+        });
+    }
+
+    void run(const fleet::follower::fetch& f) {
+        m_asker.fetch(
+            f.endpoint, f.key, f.timeout,
+            [this, key = f.key](const std::optional<store::key_change>& c) {
+                run(m_follower.on_fetch_response(key, c, m_clock.now()));
+            });
+    }
+
     void on_relayed(const std::optional<fleet::relay_response>& answer) {
         const auto actions =
             m_follower.on_relay_response(answer, m_clock.now());
@@ -138,11 +152,15 @@
         if (!m_settings.relay) {
             return;
         }
-        m_relay_listener.emplace(m_io, *m_settings.relay, m_clock,
-                                 [this](store::revision known) {
-                                     return m_follower.make_relay_response(
-                                         known, m_store_reached, m_clock.now());
-                                 });
+        m_relay_listener.emplace(
+            m_io, *m_settings.relay, m_clock,
+            [this](const fleet::relay_request& poll) {
+                return m_follower.make_relay_response(poll, m_store_reached,
+                                                      m_clock.now());
+            },
+            [this](const std::string& key) {
+                return m_follower.make_fetch_response(key, m_clock.now());
+            });
         if (const auto up = m_relay_listener->start(); !up) {
             m_log.warning("relay_cannot_listen",
                           {{"problem", up.error().text()}});
--- a/pollenreel/fleet/change_journal.cpp
+++ b/pollenreel/fleet/change_journal.cpp
@@ -38,4 +38,13 @@
     return missed;
 }
 
+std::optional<store::key_change>
+change_journal::last_change(const std::string& key) const {
+    const auto last = m_last_revisions.find(key);
+    if (last == m_last_revisions.end()) {
+        return std::nullopt;
+    }
+    return m_changes.at({last->second, key});
+}
+
 } // namespace pollenreel::fleet
--- a/pollenreel/fleet/change_journal.hpp
+++ b/pollenreel/fleet/change_journal.hpp
@@ -32,6 +32,10 @@
     [[nodiscard]] std::optional<std::vector<store::key_change>>
     changes_between(store::revision known, store::revision until) const;
 
+    // The last change of a key, if it is kept.
+    [[nodiscard]] std::optional<store::key_change>
+    last_change(const std::string& key) const;
+
 private:
     using position = std::pair<store::revision, std::string>;
 
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -22,10 +22,26 @@
 // A poll that could wait for no longer than this is not worth sending.
 constexpr int min_poll_percent = 15;
 
+// Larger values are sent apart from the other changes, which they would delay.
+constexpr std::size_t max_inline_bytes = 8192;
+// Time in which a relay's link must be able to send the large values of one
+// report. Followers beyond that read the store.
+constexpr int relay_send_percent = 15;
+// How long a follower waits for a value before it reads the store, which takes
+// the rest of the bound.
+constexpr int fetch_timeout_percent = 25;
+
 // Watches may be retried rarely: lease renewals, which cost a tenth of a watch,
 // detect the store's return sooner.
 constexpr milliseconds max_watch_retry_delay{4000};
 
+send_budget make_relay_budget(const follower_options& o) {
+    constexpr double bytes_per_megabit = 125'000;
+    const auto percent = [&](int p) { return o.departure_bound * p / 100; };
+    return {o.self.link_mbps * bytes_per_megabit, percent(relay_send_percent),
+            percent(relay_watch_percent)};
+}
+
 // Whether instances that know the previous state need this change.
 bool is_news(const change& c, effect e) {
     if (e == effect::changed || e == effect::deferred) {
@@ -53,7 +69,8 @@
 follower::follower(follower_options o, decoder d, fleet_state& state,
                    observer on_change)
     : m_options(std::move(o)), m_decoder(std::move(d)), m_state(state),
-      m_observer(std::move(on_change)) {}
+      m_observer(std::move(on_change)),
+      m_relay_budget(make_relay_budget(m_options)) {}
 
 change_source follower::source() const {
     if (m_listing) {
@@ -67,6 +84,8 @@
     m_open_watch_interval.reset();
     m_polling_relay = false;
     m_listing = true;
+    m_unread.clear();
+    m_read_retry_at.reset();
     m_state.begin_listing();
     return {list{m_options.prefix}};
 }
@@ -121,7 +140,7 @@
     // The relay's response needs time to arrive.
     const auto max_wait =
         timeout - m_options.departure_bound * min_poll_percent / 100;
-    return {poll{m_relay.endpoint, {m_seen_revision, max_wait}, timeout}};
+    return {poll{m_relay.endpoint, {m_seen_revision, max_wait, true}, timeout}};
 }
 
 follower::actions follower::leave_relay(base::time_point now) {
@@ -184,6 +203,10 @@
 }
 
 void follower::apply(const store::key_change& c, base::time_point now) {
+    const auto unread = m_unread.find(c.key);
+    if (unread != m_unread.end() && unread->second <= c.at) {
+        m_unread.erase(unread);
+    }
     const auto decoded = m_decoder(c);
     const auto done = m_state.apply(decoded, now);
     if (c.value) {
@@ -260,27 +283,90 @@
     m_state.on_contact(now - a->age);
     apply(a->changes, now);
     m_seen_revision = std::max(m_seen_revision, a->seen_revision);
-    return follow(now);
+    const auto relay_endpoint = m_relay.endpoint;
+    auto next = follow(now);
+    for (const auto& r : a->references) {
+        m_unread[r.key] = r.at;
+        next.emplace_back(
+            fetch{relay_endpoint, r.key,
+                  m_options.departure_bound * fetch_timeout_percent / 100});
+    }
+    return next;
+}
+
+follower::actions
+follower::on_fetch_response(const std::string& key,
+                            const std::optional<store::key_change>& c,
+                            base::time_point now) {
+    const auto unread = m_unread.find(key);
+    if (unread == m_unread.end()) {
+        return {};
+    }
+    if (!c || c->key != key || c->at < unread->second) {
+        return {read{key}};
+    }
+    apply(*c, now);
+    return {};
+}
+
+follower::actions follower::on_read_reply(const std::string& key,
+                                          const store::reply& r,
+                                          base::time_point now) {
+    const auto unread = m_unread.find(key);
+    if (unread == m_unread.end()) {
+        return {};
+    }
+    const auto* found = std::get_if<store::found>(&r);
+    if (found == nullptr ||
+        (found->value && found->value->modified < unread->second)) {
+        if (!m_read_retry_at) {
+            m_read_retry_at = now + m_read_backoff.next_delay();
+        }
+        return {};
+    }
+    m_read_backoff.reset();
+    const auto at = found->value ? found->value->modified : unread->second;
+    apply(store::key_change{key, at, found->value}, now);
+    return {};
 }
 
-relay_response follower::make_relay_response(store::revision known,
+relay_response follower::make_relay_response(const relay_request& r,
                                              bool is_store_reachable,
                                              base::time_point now) const {
     // A listing in progress will soon show what was missed.
     const bool is_relisting = m_listing && m_seen_revision.value > 0;
     if (!(m_open_watch_interval || is_relisting) || m_retry_at ||
-        !is_store_reachable || m_state.is_restoring(now)) {
+        !m_unread.empty() || !is_store_reachable || m_state.is_restoring(now)) {
         return {};
     }
     // Later pages of a listing may contain changes after m_seen_revision. They
     // are held back until all changes before them are known.
-    auto missed = m_journal.changes_between(known, m_seen_revision);
+    auto missed = m_journal.changes_between(r.known_revision, m_seen_revision);
     if (!missed) {
-        return {relay_status::behind, m_seen_revision, {}, {}};
+        return {relay_status::behind, m_seen_revision, {}, {}, {}};
     }
     const auto age = std::chrono::duration_cast<milliseconds>(
         now - m_state.last_contact_at());
-    return {relay_status::current, m_seen_revision, age, std::move(*missed)};
+    relay_response response{
+        relay_status::current, m_seen_revision, age, {}, {}};
+    for (auto& c : *missed) {
+        const auto bytes = c.value ? c.value->value.size() : 0;
+        if (r.accepts_references && bytes > max_inline_bytes) {
+            response.references.push_back({c.key, c.at});
+        } else {
+            response.changes.push_back(std::move(c));
+        }
+    }
+    return response;
+}
+
+std::optional<store::key_change>
+follower::make_fetch_response(const std::string& key, base::time_point now) {
+    auto last = m_journal.last_change(key);
+    const bool is_known = last && last->at <= m_seen_revision;
+    const auto bytes = is_known && last->value ? last->value->value.size() : 0;
+    return is_known && m_relay_budget.try_spend(bytes, now) ? last
+                                                            : std::nullopt;
 }
 
 follower::actions follower::on_store_regained(base::time_point now) {
@@ -294,11 +380,18 @@
 }
 
 follower::actions follower::tick(base::time_point now) {
-    if (!m_retry_at || now < *m_retry_at) {
-        return {};
+    actions due;
+    if (m_retry_at && now >= *m_retry_at) {
+        m_retry_at.reset();
+        due = m_seen_revision.value == 0 ? start(now) : watch_store();
     }
-    m_retry_at.reset();
-    return m_seen_revision.value == 0 ? start(now) : watch_store();
+    if (m_read_retry_at && now >= *m_read_retry_at) {
+        m_read_retry_at.reset();
+        for (const auto& [key, at] : m_unread) {
+            due.emplace_back(read{key});
+        }
+    }
+    return due;
 }
 
 } // namespace pollenreel::fleet
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -19,8 +19,10 @@
 #include "pollenreel/fleet/relay_choice.hpp"
 #include "pollenreel/fleet/relay_messages.hpp"
 #include "pollenreel/fleet/retry_backoff.hpp"
+#include "pollenreel/fleet/send_budget.hpp"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -60,7 +62,17 @@
         relay_request request;
         std::chrono::milliseconds timeout{};
     };
-    using action = std::variant<list, watch, poll>;
+    // Reads one key from the store, or fetches its last change from a relay.
+    // Several may be pending, beside any other action.
+    struct read {
+        std::string key;
+    };
+    struct fetch {
+        base::endpoint endpoint;
+        std::string key;
+        std::chrono::milliseconds timeout{};
+    };
+    using action = std::variant<list, watch, poll, read, fetch>;
     using actions = std::vector<action>;
     // Called for each change and its effect, for the log.
     using observer = std::function<void(const change&, effect)>;
@@ -79,6 +91,15 @@
     [[nodiscard]] actions
     on_relay_response(const std::optional<relay_response>& a,
                       base::time_point now);
+    // The response to a `fetch`; nullopt if none of use came.
+    [[nodiscard]] actions
+    on_fetch_response(const std::string& key,
+                      const std::optional<store::key_change>& c,
+                      base::time_point now);
+    // The reply to a `read`.
+    [[nodiscard]] actions on_read_reply(const std::string& key,
+                                        const store::reply& r,
+                                        base::time_point now);
     // Another call to the store succeeded after calls had failed. Restarts the
     // watch, as one that was requested during the outage may get no response.
     [[nodiscard]] actions on_store_regained(base::time_point now);
@@ -91,9 +112,13 @@
 
     // Builds the response to another instance's poll. `is_store_reachable`:
     // whether the last call to the store succeeded.
+    // Large values become references where these are accepted.
     [[nodiscard]] relay_response
-    make_relay_response(store::revision known, bool is_store_reachable,
+    make_relay_response(const relay_request& r, bool is_store_reachable,
                         base::time_point now) const;
+    // The last change of a key, unless that would take too much of the link.
+    [[nodiscard]] std::optional<store::key_change>
+    make_fetch_response(const std::string& key, base::time_point now);
 
 private:
     actions on_report(const store::watch_opened&, base::time_point now);
@@ -130,6 +155,12 @@
     std::optional<std::chrono::milliseconds> m_open_watch_interval;
     bool m_polling_relay = false;
     base::time_point m_relay_retry_at{};
+    // Keys that were relayed as references, with their revisions, until they
+    // have been read.
+    std::map<std::string, store::revision> m_unread;
+    std::optional<base::time_point> m_read_retry_at;
+    retry_backoff m_read_backoff;
+    send_budget m_relay_budget;
 };
 
 } // namespace pollenreel::fleet
--- a/pollenreel/fleet/relay_messages.hpp
+++ b/pollenreel/fleet/relay_messages.hpp
@@ -5,6 +5,7 @@
 #include "pollenreel/store/messages.hpp"
 
 #include <chrono>
+#include <string>
 #include <vector>
 
 namespace pollenreel::fleet {
@@ -13,6 +14,15 @@
     store::revision known_revision; // all changes up to it are known
     // The relay may delay the response for this long while nothing is new.
     std::chrono::milliseconds max_wait{};
+    // Large values may be sent as references.
+    bool accepts_references = false;
+};
+
+// A key that was written at `at`, without its value. The relay sends the value
+// on request if its link has bandwidth left, and the store always has it.
+struct key_reference {
+    std::string key;
+    store::revision at;
 };
 
 enum class relay_status {
@@ -27,6 +37,7 @@
     std::chrono::milliseconds
         age{}; // since the store's last reply to the sender
     std::vector<store::key_change> changes; // ordered by revision
+    std::vector<key_reference> references{};
 };
 
 } // namespace pollenreel::fleet
--- a/pollenreel/fleet/relay_region_test.cpp
+++ b/pollenreel/fleet/relay_region_test.cpp
@@ -130,7 +130,7 @@
         std::size_t relay;
         std::size_t requester;
         std::uint64_t number;
-        store::revision known;
+        relay_request request;
         base::time_point until;
     };
 
@@ -217,8 +217,43 @@
             return;
         }
         schedule(2ms, [this, to, i, number, a] {
-            m_pending_polls.push_back({to, i, number, a.request.known_revision,
-                                       m_now + a.request.max_wait});
+            m_pending_polls.push_back(
+                {to, i, number, a.request, m_now + a.request.max_wait});
+        });
+    }
+    void begin(std::size_t i, const follower::read& r) {
+        ++store_calls;
+        const auto last =
+            std::find_if(m_log.rbegin(), m_log.rend(), [&](const auto& change) {
+                return change.key == r.key;
+            });
+        const store::found reply{last->value, {m_revision}};
+        const auto takes =
+            transfer_time(std::nullopt, i, encoded_size({*last}) * 4 / 3);
+        schedule(10ms + takes, [this, i, r, reply] {
+            run(i, m_members[i]->follow.on_read_reply(r.key, reply, m_now));
+        });
+    }
+    void begin(std::size_t i, const follower::fetch& f) {
+        const auto to =
+            index_of(choose_relay(instances, m_members[i]->self).watcher);
+        auto answered = std::make_shared<bool>(false);
+        const auto answer = [this, i, f, answered](const auto& c) {
+            if (!std::exchange(*answered, true)) {
+                run(i, m_members[i]->follow.on_fetch_response(f.key, c, m_now));
+            }
+        };
+        schedule(f.timeout, [answer] { answer(std::nullopt); });
+        if (m_random.unit() < loss_rate || dead.contains(to) ||
+            silent.contains(to)) {
+            return;
+        }
+        schedule(2ms, [this, to, i, f, answer] {
+            const auto c =
+                m_members[to]->follow.make_fetch_response(f.key, m_now);
+            const auto takes = c ? transfer_time(to, i, encoded_size({*c}))
+                                 : std::chrono::milliseconds(0);
+            schedule(2ms + takes, [answer, c] { answer(c); });
         });
     }
     std::size_t index_of(const base::instance_id& id) const {
@@ -240,11 +275,15 @@
     void answer_polls(std::size_t by, bool all) {
         auto waiting = std::exchange(m_pending_polls, {});
         for (const auto& h : waiting) {
+            if (h.relay != by) {
+                m_pending_polls.push_back(h);
+                continue;
+            }
             const auto a = m_members[by]->follow.make_relay_response(
-                h.known, !cut_off.contains(by), m_now);
-            const bool news =
-                a.status != relay_status::current || !a.changes.empty();
-            if (h.relay != by || !(all || news || m_now >= h.until)) {
+                h.request, !cut_off.contains(by), m_now);
+            const bool news = a.status != relay_status::current ||
+                              !a.changes.empty() || !a.references.empty();
+            if (!(all || news || m_now >= h.until)) {
                 m_pending_polls.push_back(h);
             } else if (m_random.unit() >= loss_rate && !silent.contains(by)) {
                 schedule(2ms + transfer_time(by, h.requester,
@@ -445,6 +484,7 @@
     const row rows[] = {
         {"single changes, a few wide links", mixed, 3s},
         {"a storm, a few wide links", mixed, 400ms},
+        {"single changes, all links narrow", std::vector<double>(20, 10.0), 3s},
     };
     for (const auto& row : rows) {
         for (std::uint64_t seed = 1; seed <= 5; ++seed) {
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -154,7 +154,7 @@
         REQUIRE(a != nullptr);
         CHECK(a->request.known_revision.value == 31);
         // It does not act as a relay itself meanwhile.
-        CHECK(f.make_relay_response({31}, true, now).status ==
+        CHECK(f.make_relay_response({{31}, 0ms}, true, now).status ==
               relay_status::not_watching);
         const auto then = f.on_relay_response(r.answer, now);
         REQUIRE(then.size() == 1);
@@ -225,7 +225,7 @@
                listed(40, {{"t/a", "", {30}, {}}, {"t/b", "", {45}, {}}}),
                start_time)
               .size() == 1);
-    const auto first = f.make_relay_response({31}, true, start_time);
+    const auto first = f.make_relay_response({{31}, 0ms}, true, start_time);
     CHECK(first.status == relay_status::current);
     CHECK(first.seen_revision.value == 40);
     CHECK(first.changes.empty());
@@ -234,7 +234,7 @@
                start_time)
               .empty());
     const auto second =
-        f.make_relay_response(first.seen_revision, true, start_time);
+        f.make_relay_response({first.seen_revision, 0ms}, true, start_time);
     CHECK(second.seen_revision.value == 45);
     CHECK(revisions(second.changes) == std::vector<std::int64_t>{43, 45});
 }
@@ -254,6 +254,102 @@
     CHECK(f.on_list_reply(store::found_all{{{"i/i-2", "", {50}, {}}}, {55}},
                           start_time)
               .size() == 1);
-    CHECK(revisions(f.make_relay_response({45}, true, start_time).changes) ==
+    CHECK(revisions(
+              f.make_relay_response({{45}, 0ms}, true, start_time).changes) ==
           std::vector<std::int64_t>{50});
 }
+
+TEST_CASE("a referenced value is read until it is at least as new") {
+    struct row {
+        const char* name;
+        std::optional<store::key_change> fetched;
+        store::reply reply;
+        bool is_known;
+    };
+    const store::entry old_value{"c", "", {30}, {}};
+    const store::entry new_value{"c", "", {35}, {}};
+    const row rows[] = {
+        {"no reply", std::nullopt, store::unanswered{}, false},
+        {"an older value", written("c", 30), store::found{old_value, {36}},
+         false},
+        {"another key", written("d", 36), store::unreachable{}, false},
+        {"the value", std::nullopt, store::found{new_value, {36}}, true},
+        {"removed since", std::nullopt, store::found{std::nullopt, {36}}, true},
+    };
+    const auto one = make_instance("i-1", "a");
+    const auto two = make_instance("i-2", "a");
+    const bool one_watches =
+        choose_relay({one, two}, one).role == relay_role::watcher;
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        fleet_state known({}, {});
+        follower f({"", one_watches ? two : one, departure_bound}, decode,
+                   known, [](const change&, effect) {});
+        CHECK(f.start(start_time).size() == 1);
+        CHECK(f.on_list_reply(store::found_all{{{"i/i-1", "", {1}, {}},
+                                                {"i/i-2", "", {2}, {}},
+                                                {"c", "", {30}, {}}},
+                                               {31}},
+                              start_time)
+                  .size() == 1);
+        const auto then = f.on_relay_response(
+            relay_response{relay_status::current, {40}, 0ms, {}, {{"c", {35}}}},
+            start_time);
+        REQUIRE(then.size() == 2);
+        CHECK(std::holds_alternative<follower::poll>(then[0]));
+        REQUIRE(std::holds_alternative<follower::fetch>(then[1]));
+        const auto read = f.on_fetch_response("c", r.fetched, start_time);
+        REQUIRE(read.size() == 1); // the fetch is of no use
+        CHECK(std::holds_alternative<follower::read>(read[0]));
+        CHECK(f.on_read_reply("c", r.reply, start_time).empty());
+        const auto retried = f.tick(start_time + 1s);
+        CHECK(retried.empty() == r.is_known);
+        const auto version =
+            known.build_view()->routes->source().version.value();
+        CHECK(version ==
+              (r.is_known && std::get<store::found>(r.reply).value ? 35 : 30));
+    }
+}
+
+TEST_CASE("a relay sends large values by reference, within its bandwidth") {
+    struct row {
+        const char* name;
+        double link_mbps;
+        bool accepts_references;
+        std::size_t references;
+        int sent; // of three followers that fetch the value
+    };
+    const row rows[] = {
+        {"the follower accepts no references", 10, false, 0, 0},
+        {"a narrow link", 1, true, 1, 0},
+        {"a link for one value", 30, true, 1, 1},
+        {"a wide link", 1000, true, 1, 3},
+        {"an unknown link", 0, true, 1, 3},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        auto self = make_instance("i-1", "b");
+        self.link_mbps = r.link_mbps;
+        fleet_state known({}, {});
+        follower f({"", self, departure_bound}, decode, known,
+                   [](const change&, effect) {});
+        CHECK(f.start(start_time).size() == 1);
+        CHECK(f.on_list_reply(store::found_all{{}, {31}}, start_time).size() ==
+              1);
+        const auto large = written("c", 33, std::string(1 << 20, 'c'));
+        CHECK(
+            f.on_watch_report(store::watch_changed{{written("t/a", 32), large}},
+                              start_time)
+                .empty());
+        const auto a = f.make_relay_response({{31}, 0ms, r.accepts_references},
+                                             true, start_time);
+        CHECK(a.changes.size() == 2 - r.references);
+        CHECK(a.references.size() == r.references);
+        int sent = 0;
+        for (std::size_t i = 0; i < 3 * r.references; ++i) {
+            sent += f.make_fetch_response("c", start_time).has_value() ? 1 : 0;
+        }
+        CHECK(sent == r.sent);
+        CHECK_FALSE(f.make_fetch_response("x", start_time).has_value());
+    }
+}
--- a/pollenreel/fleet/relay_test_support.hpp
+++ b/pollenreel/fleet/relay_test_support.hpp
@@ -32,6 +32,9 @@
 // Keys "t/ID" are targets; "i/ID" are instances, their value is the bandwidth
 // of their link; "c" holds the configuration, its version is the revision.
 inline change decode(const store::key_change& c) {
+    if (c.key == "c" && !c.value) {
+        return unrelated{};
+    }
     if (c.key == "c") {
         configuration_written w;
         w.configuration.version =
--- a/pollenreel/relay/client.cpp
+++ b/pollenreel/relay/client.cpp
@@ -31,6 +31,16 @@
         });
 }
 
+void client::fetch(const base::endpoint& at, const std::string& key,
+                   std::chrono::milliseconds timeout,
+                   fetch_handler on_fetched) {
+    m_client.call(at, encode_fetch(key), timeout,
+                  [on_fetched = std::move(on_fetched)](
+                      const base::result<http::response>& r) {
+                      on_fetched(r ? decode_fetched(r.value()) : std::nullopt);
+                  });
+}
+
 std::string_view failure_reason(const std::optional<fleet::relay_response>& a) {
     if (!a) {
         return "no answer";
--- a/pollenreel/relay/client.hpp
+++ b/pollenreel/relay/client.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace pollenreel::relay {
@@ -31,6 +32,13 @@
               std::chrono::milliseconds timeout, response_handler on_response);
     void cancel() { ++m_poll_number; }
 
+    // Fetches the last change of a key; nullopt if the relay does not send it.
+    // Independent of polls and of other fetches.
+    using fetch_handler =
+        std::function<void(const std::optional<store::key_change>&)>;
+    void fetch(const base::endpoint& at, const std::string& key,
+               std::chrono::milliseconds timeout, fetch_handler on_fetched);
+
 private:
     http::client m_client;
     std::uint64_t m_poll_number = 0; // of the latest poll
--- a/pollenreel/relay/codec.cpp
+++ b/pollenreel/relay/codec.cpp
@@ -11,6 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::string_view path = "/relay/changes";
+constexpr std::string_view fetch_path = "/relay/value";
 constexpr unsigned http_ok = 200;
 // Longer durations are clamped; no configured bound is longer.
 constexpr milliseconds max_wire_duration{60'000};
@@ -45,6 +46,15 @@
     return wire::RelayAnswer::NOT_WATCHING;
 }
 
+void encode_change(wire::RelayedChange& to, const store::key_change& c) {
+    to.set_key(c.key);
+    to.set_revision(c.at.value);
+    to.set_removed(!c.value);
+    if (c.value) {
+        to.set_value(c.value->value);
+    }
+}
+
 store::key_change decode_change(const wire::RelayedChange& from) {
     const store::revision at{from.revision()};
     if (from.removed()) {
@@ -59,6 +69,7 @@
     wire::RelayAsk message;
     message.set_known_revision(a.known_revision.value);
     message.set_wait_ms(to_wire_ms(a.max_wait));
+    message.set_accepts_references(a.accepts_references);
     return {"POST", std::string(path), {}, message.SerializeAsString()};
 }
 
@@ -68,17 +79,44 @@
     message.set_seen_revision(a.seen_revision.value);
     message.set_age_ms(to_wire_ms(a.age));
     for (const auto& c : a.changes) {
-        auto& change = *message.add_changes();
-        change.set_key(c.key);
-        change.set_revision(c.at.value);
-        change.set_removed(!c.value);
-        if (c.value) {
-            change.set_value(c.value->value);
-        }
+        encode_change(*message.add_changes(), c);
     }
+    for (const auto& r : a.references) {
+        auto& reference = *message.add_references();
+        reference.set_key(r.key);
+        reference.set_revision(r.at.value);
+    }
+    return {http_ok, {}, message.SerializeAsString()};
+}
+
+http::request encode_fetch(const std::string& key) {
+    wire::RelayFetch message;
+    message.set_key(key);
+    return {"POST", std::string(fetch_path), {}, message.SerializeAsString()};
+}
+
+http::response encode(const store::key_change& c) {
+    wire::RelayedChange message;
+    encode_change(message, c);
     return {http_ok, {}, message.SerializeAsString()};
 }
 
+std::optional<std::string> decode_fetch(const http::request& r) {
+    wire::RelayFetch message;
+    if (r.path != fetch_path || !message.ParseFromString(r.body)) {
+        return std::nullopt;
+    }
+    return message.key();
+}
+
+std::optional<store::key_change> decode_fetched(const http::response& r) {
+    wire::RelayedChange message;
+    if (r.status != http_ok || !message.ParseFromString(r.body)) {
+        return std::nullopt;
+    }
+    return decode_change(message);
+}
+
 std::optional<fleet::relay_request> decode_request(const http::request& r) {
     wire::RelayAsk message;
     if (r.path != path || !message.ParseFromString(r.body)) {
@@ -86,7 +124,8 @@
     }
     const milliseconds wait{message.wait_ms()};
     return fleet::relay_request{{message.known_revision()},
-                                std::min(wait, max_wire_duration)};
+                                std::min(wait, max_wire_duration),
+                                message.accepts_references()};
 }
 
 std::optional<fleet::relay_response> decode_response(const http::response& r) {
@@ -104,6 +143,10 @@
     for (const auto& c : message.changes()) {
         response.changes.push_back(decode_change(c));
     }
+    for (const auto& reference : message.references()) {
+        response.references.push_back(
+            {reference.key(), {reference.revision()}});
+    }
     return response;
 }
 
--- a/pollenreel/relay/codec_test.cpp
+++ b/pollenreel/relay/codec_test.cpp
@@ -6,8 +6,10 @@
 using namespace std::chrono_literals;
 
 TEST_CASE("requests and responses survive a round trip") {
-    const auto request = relay::decode_request(relay::encode({{17}, 1500ms}));
+    const auto request =
+        relay::decode_request(relay::encode({{17}, 1500ms, true}));
     REQUIRE(request.has_value());
+    CHECK(request->accepts_references);
     CHECK(request->known_revision.value == 17);
     CHECK(request->max_wait == 1500ms);
 
@@ -16,7 +18,8 @@
         {40},
         120ms,
         {{"t/a", {38}, store::entry{"t/a", std::string("\0x", 2), {38}, {}}},
-         {"t/b", {39}, std::nullopt}}};
+         {"t/b", {39}, std::nullopt}},
+        {{"c", {37}}}};
     const auto read = relay::decode_response(relay::encode(response));
     REQUIRE(read.has_value());
     CHECK(read->status == fleet::relay_status::current);
@@ -28,6 +31,9 @@
     REQUIRE(read->changes[0].value.has_value());
     CHECK(read->changes[0].value->value == std::string("\0x", 2));
     CHECK_FALSE(read->changes[1].value.has_value());
+    REQUIRE(read->references.size() == 1);
+    CHECK(read->references[0].key == "c");
+    CHECK(read->references[0].at.value == 37);
 }
 
 TEST_CASE("each status survives a round trip") {
@@ -35,7 +41,7 @@
          {fleet::relay_status::current, fleet::relay_status::behind,
           fleet::relay_status::not_watching}) {
         const auto read =
-            relay::decode_response(relay::encode({s, {}, {}, {}}));
+            relay::decode_response(relay::encode({s, {}, {}, {}, {}}));
         REQUIRE(read.has_value());
         CHECK(read->status == s);
     }
--- a/pollenreel/relay/listener.hpp
+++ b/pollenreel/relay/listener.hpp
@@ -2,7 +2,7 @@
 // Responds to a poll immediately if there are changes, else after the next
 // report of the store or when the poll's maximum wait has passed.
 //
-//   relay::listener listener(io, at, clock, [&](auto known) { return ...; });
+//   relay::listener listener(io, at, clock, [&](auto& poll) { return ...; });
 //   listener.start();
 //   listener.on_progress(); // on each report of the store, and when it is lost
 #pragma once
@@ -16,20 +16,25 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <optional>
+#include <string>
 
 namespace pollenreel::relay {
 
 // Runs on the io_context's one thread.
 class listener {
 public:
-    // Returns the response for an instance that knows the changes up to
-    // `known`.
     using response_source =
-        std::function<fleet::relay_response(store::revision known)>;
+        std::function<fleet::relay_response(const fleet::relay_request&)>;
+
+    // Returns the last change of a key; nullopt if it is not to be sent.
+    using value_source =
+        std::function<std::optional<store::key_change>(const std::string& key)>;
 
     // `clock` must outlive the listener.
     listener(boost::asio::io_context& io, const base::endpoint& at,
-             const base::clock& clock, response_source source);
+             const base::clock& clock, response_source source,
+             value_source values);
 
     // Fails with cannot_listen.
     [[nodiscard]] base::result<void> start() { return m_server.start(); }
@@ -54,11 +59,12 @@
 
     void on_request(const http::request& r, http::responder respond);
     void respond_to(const pending_poll& poll);
-    void send(const http::responder& respond,
-              const fleet::relay_response& response);
+    void on_fetch(const std::string& key, const http::responder& respond);
+    void send(const http::responder& respond, http::response encoded);
 
     const base::clock& m_clock;
     response_source m_source;
+    value_source m_values;
     http::server m_server;
     std::list<pending_poll> m_pending_polls;
     std::uint64_t m_response_count = 0;
--- a/pollenreel/relay/listener_test.cpp
+++ b/pollenreel/relay/listener_test.cpp
@@ -1,4 +1,5 @@
 #include "pollenreel/http/client.hpp"
+#include "pollenreel/relay/client.hpp"
 #include "pollenreel/relay/codec.hpp"
 #include "pollenreel/relay/listener.hpp"
 #include "testing/ports.hpp"
@@ -15,11 +16,17 @@
 class fixture {
 public:
     fixture()
-        : at(testing::free_endpoint()), listener(io, at, clock,
-                                                 [this](store::revision known) {
-                                                     last_known = known.value;
-                                                     return next_response;
-                                                 }),
+        : at(testing::free_endpoint()),
+          listener(
+              io, at, clock,
+              [this](const auto& poll) {
+                  last_known = poll.known_revision.value;
+                  return next_response;
+              },
+              [this](const auto& key) {
+                  last_key = key;
+                  return next_value;
+              }),
           m_client(io) {
         REQUIRE(listener.start().has_value());
     }
@@ -49,7 +56,9 @@
     base::endpoint at;
     fleet::relay_response next_response{
         fleet::relay_status::current, {7}, {}, {}};
+    std::optional<store::key_change> next_value;
     std::int64_t last_known = 0;
+    std::string last_key;
     unsigned status = 0;
     std::optional<fleet::relay_response> response;
     relay::listener listener;
@@ -113,3 +122,26 @@
     f.settle(true);
     CHECK(f.status == 400);
 }
+
+TEST_CASE("a fetch returns the value of a key, or nothing if it is not sent") {
+    for (const bool is_sent : {true, false}) {
+        CAPTURE(is_sent);
+        fixture f;
+        if (is_sent) {
+            f.next_value = {
+                "c", {8}, store::entry{"c", std::string(20'000, 'v'), {8}, {}}};
+        }
+        relay::client client(f.io);
+        std::optional<std::optional<store::key_change>> fetched;
+        client.fetch(f.at, "c", 5s, [&](const auto& c) { fetched = c; });
+        while (!fetched) {
+            REQUIRE(f.io.run_one() > 0);
+        }
+        CHECK(f.last_key == "c");
+        REQUIRE(fetched->has_value() == is_sent);
+        if (is_sent) {
+            CHECK((*fetched)->at.value == 8);
+            CHECK((*fetched)->value->value.size() == 20'000);
+        }
+    }
+}
