Send nothing more to a target that announced its departure in a response

What callers saw: an order answered by a target that had said it was leaving, and that ended it before it was done (DRAIN, the users' new rule).

Cause: departures were learned from the store alone. An instance that is cut off from it, or hears of it late, goes on using the target.

A response of an earlier start, of another request or of another target tells nothing. A request whose target departed while it connected is not sent; another is tried. The event is logged as target_departing with the request that told it.

--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -57,8 +57,9 @@
     return std::get<base::time_point>(*m_timers.begin());
 }
 
-void core::on(const view_changed& e, base::time_point, effects&) {
+void core::on(const view_changed& e, base::time_point now, effects&) {
     m_view = e.view;
+    m_departing.update(m_view->targets, now);
     m_targets_by_service.clear();
     std::set<base::target_id> present;
     for (const auto& t : m_view->targets) {
@@ -70,6 +71,9 @@
             }
             m_misaddressed.erase(misplaced);
         }
+        if (m_departing.contains(t)) {
+            continue;
+        }
         m_targets_by_service[t.service].push_back(&t);
     }
     std::erase_if(m_target_states, [&](const auto& one) {
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "pollenreel/base/random.hpp"
+#include "pollenreel/dispatch/departing_targets.hpp"
 #include "pollenreel/dispatch/latency_profile.hpp"
 #include "pollenreel/dispatch/placement.hpp"
 #include "pollenreel/dispatch/region_share.hpp"
@@ -119,9 +120,14 @@
     request::refusal failure;
     base::duration took{};
 };
-using effect =
-    std::variant<open_attempt, request::send_attempt, request::abandon_attempt,
-                 request::forward_response, refuse, attempt_failed>;
+// A target announced its departure for the first time.
+struct target_departing {
+    base::request_id request; // whose response said so
+    base::target_id target;
+};
+using effect = std::variant<open_attempt, request::send_attempt,
+                            request::abandon_attempt, request::forward_response,
+                            refuse, attempt_failed, target_departing>;
 using effects = std::vector<effect>;
 
 // Counts since the start of the process.
@@ -184,6 +190,7 @@
         request::attempt machine;
         base::request_id request;
         base::target_id target;
+        std::int64_t incarnation = 0; // of the target
         base::time_point started_at;
         placement_class kind;
         bool queued = false; // the target had no free slot when it was chosen
@@ -218,6 +225,8 @@
                                                const target_state& s,
                                                base::time_point now) const;
     region_share& share_for(const base::service_id& service);
+    // Whether a request may still be sent to the target of a new attempt.
+    [[nodiscard]] bool is_usable(const ongoing_attempt& a) const;
     struct placement_choice {
         std::optional<placement> best; // nullopt if no target is usable
         std::size_t candidates = 0;
@@ -270,6 +279,7 @@
     // incarnation and address at that time. Not used until either changes.
     std::map<base::target_id, std::pair<std::int64_t, base::endpoint>>
         m_misaddressed;
+    departing_targets m_departing;
     std::map<profile_key, latency_profile> m_profiles;
     std::map<base::service_id, retry_budget> m_budgets;
     std::map<base::service_id, region_share> m_shares;
--- a/pollenreel/dispatch/core_attempts.cpp
+++ b/pollenreel/dispatch/core_attempts.cpp
@@ -98,6 +98,7 @@
     m_open_attempts[id] = {{},
                            pending.id,
                            best.target->id,
+                           best.target->incarnation,
                            now,
                            best.kind,
                            best.wait > base::duration::zero(),
@@ -114,8 +115,16 @@
 void core::on(const request::attempt_connected& e, base::time_point now,
               effects& out) {
     const auto found = m_open_attempts.find(e.attempt);
-    if (found == m_open_attempts.end() ||
-        found->second.machine.on_connected() != request::attempt::step::send) {
+    if (found == m_open_attempts.end()) {
+        return;
+    }
+    if (!is_usable(found->second)) {
+        out.emplace_back(request::abandon_attempt{e.attempt});
+        found->second.machine.on_connect_failed();
+        return handle_failed_attempt(e.attempt, attempt_result::cancelled, now,
+                                     out);
+    }
+    if (found->second.machine.on_connected() != request::attempt::step::send) {
         return;
     }
     auto& pending = m_pending.at(found->second.request);
@@ -125,6 +134,16 @@
         std::chrono::duration_cast<milliseconds>(pending.expires_at - now)});
 }
 
+bool core::is_usable(const ongoing_attempt& a) const {
+    const auto& service = m_pending.at(a.request).service;
+    const auto found = m_targets_by_service.find(service);
+    return found != m_targets_by_service.end() &&
+           std::any_of(
+               found->second.begin(), found->second.end(), [&](const auto* t) {
+                   return t->id == a.target && t->incarnation == a.incarnation;
+               });
+}
+
 void core::on(const request::attempt_connect_failed& e, base::time_point now,
               effects& out) {
     const auto found = m_open_attempts.find(e.attempt);
@@ -165,6 +184,11 @@
             std::erase_if(m_targets_by_service[pending.service],
                           [&](const auto* t) { return t->id == target; });
         }
+    } else if (e.response.departing && e.response.id_matches &&
+               m_departing.add(target, attempt.incarnation, now)) {
+        std::erase_if(m_targets_by_service[pending.service],
+                      [&](const auto* t) { return m_departing.contains(*t); });
+        out.emplace_back(target_departing{pending.id, target});
     }
     const auto step = attempt.machine.on_response(e.response);
     const bool forwarded = step == request::attempt::step::forward;
--- a/pollenreel/dispatch/core_test.cpp
+++ b/pollenreel/dispatch/core_test.cpp
@@ -35,7 +35,7 @@
     }
 
     void publish(bool idempotent, std::size_t targets,
-                 base::time_point cold_until) {
+                 base::time_point cold_until, std::int64_t incarnation = 1) {
         routes::configuration c;
         c.version = base::config_version(1);
         routes::route r;
@@ -58,6 +58,7 @@
             t.service = base::service_id("s");
             t.region = base::region_id("khomas");
             t.slots = 4;
+            t.incarnation = incarnation;
             t.cold_until = cold_until;
             v->targets.push_back(t);
         }
@@ -361,3 +362,108 @@
     REQUIRE(find<refuse>(out) != nullptr);
     CHECK(find<refuse>(out)->refusal.reason == reason::stopping);
 }
+
+namespace {
+
+request::response_info departing() {
+    auto f = answered(200);
+    f.departing = true;
+    return f;
+}
+
+} // namespace
+
+// An instance that was cut off from the store went on sending requests to a
+// target that said in its responses that it was leaving (DRAIN).
+TEST_CASE("a target that announced its departure gets no new requests") {
+    struct row {
+        const char* name;
+        void (*later)(driver&);
+        bool is_used; // again
+    };
+    const row rows[] = {
+        {"the store has not told it yet", [](driver&) {}, false},
+        {"its entry is written again as it was",
+         [](driver& d) { d.publish(false, 1, {}); }, false},
+        {"its failure domain is evacuated and returns",
+         [](driver& d) {
+             d.publish(false, 0, {});
+             d.now += 1min;
+             d.publish(false, 1, {});
+         },
+         false},
+        {"it has started anew", [](driver& d) { d.publish(false, 1, {}, 2); },
+         true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        driver d(false, 1);
+        const auto id = opened(d.arrive());
+        d.handle(request::attempt_connected{id});
+        const auto out = d.handle(request::attempt_answered{id, departing()});
+        CHECK(find<target_departing>(out) != nullptr);
+        CHECK(find<request::forward_response>(out) != nullptr);
+        r.later(d);
+        CHECK((find<open_attempt>(d.arrive()) != nullptr) == r.is_used);
+    }
+}
+
+TEST_CASE("a late response of an earlier start does not exclude a target") {
+    driver d(false, 1);
+    const auto id = opened(d.arrive());
+    d.handle(request::attempt_connected{id});
+    d.publish(false, 1, {}, 2);
+    d.handle(request::attempt_answered{id, departing()});
+    CHECK(find<open_attempt>(d.arrive()) != nullptr);
+}
+
+TEST_CASE("a response for another request or target tells no departure") {
+    struct row {
+        const char* name;
+        bool id_matches;
+        bool wrong_target;
+    };
+    const row rows[] = {
+        {"another request", false, false},
+        {"another target", true, true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        driver d(false, 1);
+        const auto id = opened(d.arrive());
+        d.handle(request::attempt_connected{id});
+        auto info = departing();
+        info.id_matches = r.id_matches;
+        info.wrong_target = r.wrong_target;
+        const auto out = d.handle(request::attempt_answered{id, info});
+        CHECK(find<target_departing>(out) == nullptr);
+    }
+}
+
+TEST_CASE("a request is not sent to a target that departed meanwhile") {
+    struct row {
+        const char* name;
+        void (*meanwhile)(driver&, base::attempt_id other);
+    };
+    const row rows[] = {
+        {"a response said so",
+         [](driver& d, base::attempt_id other) {
+             d.handle(request::attempt_answered{other, departing()});
+         }},
+        {"the store said so",
+         [](driver& d, base::attempt_id) { d.publish(false, 0, {}); }},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        driver d(false, 1);
+        const auto other = opened(d.arrive());
+        d.handle(request::attempt_connected{other});
+        const auto id = opened(d.arrive()); // connects
+        r.meanwhile(d, other);
+        const auto out = d.handle(request::attempt_connected{id});
+        CHECK(find<request::send_attempt>(out) == nullptr);
+        CHECK(find<request::abandon_attempt>(out) != nullptr);
+        REQUIRE(find<refuse>(out) != nullptr);
+        CHECK(find<refuse>(out)->refusal.outcome == outcome::not_run);
+    }
+}
--- a/pollenreel/entry/request_log.cpp
+++ b/pollenreel/entry/request_log.cpp
@@ -138,6 +138,12 @@
                                    : std::nullopt)}});
 }
 
+void request_log::target_departing(const request_name& r,
+                                   const base::target_id& target) {
+    m_log.info("target_departing",
+               {{"request", r.caller_id}, {"target", target.str()}});
+}
+
 void request_log::caller_left(const request_name& r, base::duration waited,
                               base::time_point now) {
     if (begin_trouble(r, now)) {
--- a/pollenreel/entry/request_log.hpp
+++ b/pollenreel/entry/request_log.hpp
@@ -37,6 +37,7 @@
                  const fleet::view* v, base::time_point now);
     void caller_left(const request_name& r, base::duration waited,
                      base::time_point now);
+    void target_departing(const request_name& r, const base::target_id& target);
     // To be called about once a second: says what was held back.
     void report_held_back();
 
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -282,6 +282,11 @@
         m_request_of.erase(e.attempt);
     }
 
+    void run(const dispatch::target_departing& e) {
+        m_requests.target_departing(
+            {e.request, m_waiting.at(e.request).caller_id}, e.target);
+    }
+
     void run(const request::forward_response& e) {
         auto answer = m_protocol.to_caller(m_targets.take_response(e.attempt));
         const auto& w = m_waiting.at(e.request);
--- a/pollenreel/request/attempt.hpp
+++ b/pollenreel/request/attempt.hpp
@@ -36,6 +36,7 @@
     std::optional<target_load> load = std::nullopt;
     // How long the target keeps an idle connection open.
     std::optional<std::chrono::milliseconds> keep_alive = std::nullopt;
+    bool departing = false; // the target is leaving and wants no new requests
 };
 
 class attempt {
