Send nothing to a target for as long as its refusal asks

What callers saw: nothing by itself; a target in need was sent requests at the same rate as before, which the users' new rule forbids (BUDGET), and callers got its refusals.

Cause: Retry-After in a target's 503 was not read.

Placement passes over such a target, an attempt that connects meanwhile is not sent, and a request for which every target has backed off is refused at once, with the time until the first of them takes requests again. Logged as target_backed_off.

--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -77,7 +77,8 @@
         m_targets_by_service[t.service].push_back(&t);
     }
     std::erase_if(m_target_states, [&](const auto& one) {
-        return !present.contains(one.first) && one.second.in_flight() == 0;
+        return !present.contains(one.first) && one.second.in_flight() == 0 &&
+               !one.second.backs_off(now);
     });
     std::erase_if(m_misaddressed, [&](const auto& one) {
         return !present.contains(one.first);
@@ -184,6 +185,35 @@
            cold_quota(bound, t.id, m_options.self, m_view->instances);
 }
 
+bool core::is_withheld(const fleet::target& t, const target_state& s,
+                       base::time_point now) const {
+    return s.backs_off_until(t.incarnation, now) ||
+           is_cold_quota_exhausted(t, s, now);
+}
+
+milliseconds core::retry_delay(const base::service_id& service,
+                               base::time_point now) const {
+    const auto targets = m_targets_by_service.find(service);
+    if (targets == m_targets_by_service.end()) {
+        return default_retry_after;
+    }
+    std::optional<base::time_point> earliest;
+    for (const auto* t : targets->second) {
+        const auto state = m_target_states.find(t->id);
+        const auto until =
+            state == m_target_states.end()
+                ? std::nullopt
+                : state->second.backs_off_until(t->incarnation, now);
+        if (!until) {
+            return default_retry_after;
+        }
+        earliest = std::min(earliest.value_or(*until), *until);
+    }
+    return std::max(
+        default_retry_after,
+        std::chrono::duration_cast<milliseconds>(earliest.value_or(now) - now));
+}
+
 std::vector<candidate> core::candidates_for(const pending_request& pending,
                                             base::time_point now) {
     std::vector<candidate> all;
@@ -201,7 +231,7 @@
         }
         const auto& state = m_target_states[t->id];
         all.push_back({t, &state, t->region != m_options.region,
-                       is_cold_quota_exhausted(*t, state, now)});
+                       is_withheld(*t, state, now)});
     }
     return all;
 }
@@ -250,7 +280,7 @@
     const auto& best = choice.best;
     if (!best) {
         return refuse_request(pending.id, not_run(reason::no_target), {},
-                              default_retry_after, now, out);
+                              retry_delay(pending.service, now), now, out);
     }
     const auto verdict =
         admit(*best, {now - pending.arrived_at, pending.expires_at - now,
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -125,9 +125,16 @@
     base::request_id request; // whose response said so
     base::target_id target;
 };
-using effect = std::variant<open_attempt, request::send_attempt,
-                            request::abandon_attempt, request::forward_response,
-                            refuse, attempt_failed, target_departing>;
+// A target wants no requests from this instance for a while.
+struct target_backed_off {
+    base::request_id request; // whose response said so
+    base::target_id target;
+    std::chrono::milliseconds lasts{};
+};
+using effect =
+    std::variant<open_attempt, request::send_attempt, request::abandon_attempt,
+                 request::forward_response, refuse, attempt_failed,
+                 target_departing, target_backed_off>;
 using effects = std::vector<effect>;
 
 // Counts since the start of the process.
@@ -224,9 +231,20 @@
     [[nodiscard]] bool is_cold_quota_exhausted(const fleet::target& t,
                                                const target_state& s,
                                                base::time_point now) const;
+    // Whether this instance must not send to the target now.
+    [[nodiscard]] bool is_withheld(const fleet::target& t,
+                                   const target_state& s,
+                                   base::time_point now) const;
+    // When a request for which no target is usable may be sent again.
+    [[nodiscard]] std::chrono::milliseconds
+    retry_delay(const base::service_id& service, base::time_point now) const;
     region_share& share_for(const base::service_id& service);
     // Whether a request may still be sent to the target of a new attempt.
-    [[nodiscard]] bool is_usable(const ongoing_attempt& a) const;
+    [[nodiscard]] bool is_usable(const ongoing_attempt& a,
+                                 base::time_point now) const;
+    // Takes in what a response says about its target.
+    void note_target(const ongoing_attempt& a, const request::response_info& r,
+                     base::time_point now, effects& out);
     struct placement_choice {
         std::optional<placement> best; // nullopt if no target is usable
         std::size_t candidates = 0;
--- a/pollenreel/dispatch/core_attempts.cpp
+++ b/pollenreel/dispatch/core_attempts.cpp
@@ -118,7 +118,7 @@
     if (found == m_open_attempts.end()) {
         return;
     }
-    if (!is_usable(found->second)) {
+    if (!is_usable(found->second, now)) {
         out.emplace_back(request::abandon_attempt{e.attempt});
         found->second.machine.on_connect_failed();
         return handle_failed_attempt(e.attempt, attempt_result::cancelled, now,
@@ -134,10 +134,12 @@
         std::chrono::duration_cast<milliseconds>(pending.expires_at - now)});
 }
 
-bool core::is_usable(const ongoing_attempt& a) const {
+bool core::is_usable(const ongoing_attempt& a, base::time_point now) const {
     const auto& service = m_pending.at(a.request).service;
     const auto found = m_targets_by_service.find(service);
-    return found != m_targets_by_service.end() &&
+    const auto& state = m_target_states.at(a.target);
+    return !state.backs_off_until(a.incarnation, now) &&
+           found != m_targets_by_service.end() &&
            std::any_of(
                found->second.begin(), found->second.end(), [&](const auto* t) {
                    return t->id == a.target && t->incarnation == a.incarnation;
@@ -184,11 +186,8 @@
             std::erase_if(m_targets_by_service[pending.service],
                           [&](const auto* t) { return t->id == target; });
         }
-    } else if (e.response.departing && e.response.id_matches &&
-               m_departing.add(target, attempt.incarnation, now)) {
-        std::erase_if(m_targets_by_service[pending.service],
-                      [&](const auto* t) { return m_departing.contains(*t); });
-        out.emplace_back(target_departing{pending.id, target});
+    } else if (e.response.id_matches) {
+        note_target(attempt, e.response, now, out);
     }
     const auto step = attempt.machine.on_response(e.response);
     const bool forwarded = step == request::attempt::step::forward;
@@ -233,6 +232,20 @@
     }
 }
 
+void core::note_target(const ongoing_attempt& a,
+                       const request::response_info& r, base::time_point now,
+                       effects& out) {
+    if (r.departing && m_departing.add(a.target, a.incarnation, now)) {
+        std::erase_if(m_targets_by_service[m_pending.at(a.request).service],
+                      [&](const auto* t) { return m_departing.contains(*t); });
+        out.emplace_back(target_departing{a.request, a.target});
+    }
+    if (r.back_off) {
+        m_target_states[a.target].back_off(a.incarnation, now + *r.back_off);
+        out.emplace_back(target_backed_off{a.request, a.target, *r.back_off});
+    }
+}
+
 void core::forward(base::attempt_id id, pending_request& pending,
                    base::time_point now, effects& out) {
     abandon_open_attempts(pending, now, out);
--- a/pollenreel/dispatch/core_test.cpp
+++ b/pollenreel/dispatch/core_test.cpp
@@ -467,3 +467,77 @@
         CHECK(find<refuse>(out)->refusal.outcome == outcome::not_run);
     }
 }
+
+// A target that refused with a time to stay away was sent requests at the same
+// rate as before (BUDGET).
+TEST_CASE("a target that asks for a back-off gets no requests meanwhile") {
+    struct row {
+        const char* name;
+        void (*later)(driver&);
+        bool is_used;
+    };
+    const row rows[] = {
+        {"at once", [](driver&) {}, false},
+        {"shortly before its end", [](driver& d) { d.now += 1999ms; }, false},
+        {"at its end", [](driver& d) { d.now += 2000ms; }, true},
+        {"its entry is written again",
+         [](driver& d) { d.publish(true, 1, {}); }, false},
+        {"its failure domain is evacuated and returns",
+         [](driver& d) {
+             d.publish(true, 0, {});
+             d.publish(true, 1, {});
+         },
+         false},
+        {"it has started anew", [](driver& d) { d.publish(true, 1, {}, 2); },
+         true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        driver d(true, 1);
+        const auto id = opened(d.arrive());
+        d.handle(request::attempt_connected{id});
+        auto info = shed();
+        info.back_off = 2000ms;
+        const auto out = d.handle(request::attempt_answered{id, info});
+        CHECK(find<target_backed_off>(out) != nullptr);
+        r.later(d);
+        const auto next = d.arrive();
+        CHECK((find<open_attempt>(next) != nullptr) == r.is_used);
+        if (!r.is_used) {
+            const auto* refused = find<refuse>(next);
+            REQUIRE(refused != nullptr);
+            CHECK(refused->refusal.outcome == outcome::not_run);
+            CHECK(refused->retry_after <= 2000ms);
+        }
+    }
+}
+
+TEST_CASE("a shorter back-off does not end a longer one") {
+    driver d(true, 1);
+    const auto first = opened(d.arrive());
+    const auto second = opened(d.arrive());
+    d.handle(request::attempt_connected{first});
+    d.handle(request::attempt_connected{second});
+    auto info = shed();
+    info.back_off = 2000ms;
+    d.handle(request::attempt_answered{first, info});
+    info.back_off = 100ms;
+    d.handle(request::attempt_answered{second, info});
+    d.now += 1s;
+    const auto out = d.arrive();
+    REQUIRE(find<refuse>(out) != nullptr);
+    CHECK(find<refuse>(out)->retry_after == 1000ms);
+}
+
+TEST_CASE("a request that connects when a back-off begins is not sent") {
+    driver d(true, 1);
+    const auto first = opened(d.arrive());
+    const auto second = opened(d.arrive()); // connects
+    d.handle(request::attempt_connected{first});
+    auto info = shed();
+    info.back_off = 2000ms;
+    d.handle(request::attempt_answered{first, info});
+    const auto out = d.handle(request::attempt_connected{second});
+    CHECK(find<request::send_attempt>(out) == nullptr);
+    CHECK(find<request::abandon_attempt>(out) != nullptr);
+}
--- a/pollenreel/dispatch/placement.hpp
+++ b/pollenreel/dispatch/placement.hpp
@@ -30,8 +30,9 @@
     const fleet::target* target = nullptr;
     const target_state* state = nullptr;
     bool abroad = false; // in another region than the instance
-    // The target is cold and this instance has used up its quota.
-    bool cold_quota_exhausted = false;
+    // This instance must not send to the target now: it is cold and the quota
+    // is used up, or it wants no requests.
+    bool withheld = false;
 };
 
 struct placement_query {
--- a/pollenreel/dispatch/target_state.cpp
+++ b/pollenreel/dispatch/target_state.cpp
@@ -121,6 +121,22 @@
            (m_consecutive_failures >= ejection_threshold && m_in_flight > 0);
 }
 
+void target_state::back_off(std::int64_t incarnation, base::time_point until) {
+    m_back_off_until = incarnation == m_back_off_incarnation
+                           ? std::max(m_back_off_until, until)
+                           : until;
+    m_back_off_incarnation = incarnation;
+}
+
+std::optional<base::time_point>
+target_state::backs_off_until(std::int64_t incarnation,
+                              base::time_point now) const {
+    if (!backs_off(now) || m_back_off_incarnation != incarnation) {
+        return std::nullopt;
+    }
+    return m_back_off_until;
+}
+
 bool target_state::unresponsive(base::duration limit,
                                 base::time_point now) const {
     return !m_open_since.empty() && now - m_open_since.front() > limit &&
--- a/pollenreel/dispatch/target_state.hpp
+++ b/pollenreel/dispatch/target_state.hpp
@@ -50,6 +50,15 @@
     // says otherwise. True for ejected targets as well.
     [[nodiscard]] bool recently_recovered(base::time_point now) const;
 
+    // That start of the target wants no requests until `until`.
+    void back_off(std::int64_t incarnation, base::time_point until);
+    // End of a back-off of that start of the target; nullopt if there is none.
+    [[nodiscard]] std::optional<base::time_point>
+    backs_off_until(std::int64_t incarnation, base::time_point now) const;
+    [[nodiscard]] bool backs_off(base::time_point now) const {
+        return now < m_back_off_until;
+    }
+
     [[nodiscard]] recent_objects& objects() { return m_objects; }
     [[nodiscard]] const recent_objects& objects() const { return m_objects; }
 
@@ -73,6 +82,8 @@
     base::time_point m_ejected_until{};
     base::time_point m_recovered_at{};
     base::time_point m_last_answer_at{};
+    base::time_point m_back_off_until{};
+    std::int64_t m_back_off_incarnation = 0;
     recent_objects m_objects;
     // Starts of the open attempts, oldest first.
     std::deque<base::time_point> m_open_since;
--- a/pollenreel/entry/request_log.cpp
+++ b/pollenreel/entry/request_log.cpp
@@ -144,6 +144,16 @@
                {{"request", r.caller_id}, {"target", target.str()}});
 }
 
+void request_log::target_backed_off(const request_name& r,
+                                    const dispatch::target_backed_off& e,
+                                    base::time_point now) {
+    if (m_trouble.allow(now)) {
+        m_log.info("target_backed_off", {{"request", r.caller_id},
+                                         {"target", e.target.str()},
+                                         {"lasts_ms", e.lasts.count()}});
+    }
+}
+
 void request_log::caller_left(const request_name& r, base::duration waited,
                               base::time_point now) {
     if (begin_trouble(r, now)) {
--- a/pollenreel/entry/request_log.hpp
+++ b/pollenreel/entry/request_log.hpp
@@ -38,6 +38,9 @@
     void caller_left(const request_name& r, base::duration waited,
                      base::time_point now);
     void target_departing(const request_name& r, const base::target_id& target);
+    void target_backed_off(const request_name& r,
+                           const dispatch::target_backed_off& e,
+                           base::time_point now);
     // To be called about once a second: says what was held back.
     void report_held_back();
 
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -287,6 +287,11 @@
             {e.request, m_waiting.at(e.request).caller_id}, e.target);
     }
 
+    void run(const dispatch::target_backed_off& e) {
+        m_requests.target_backed_off(
+            {e.request, m_waiting.at(e.request).caller_id}, e, m_clock.now());
+    }
+
     void run(const request::forward_response& e) {
         auto answer = m_protocol.to_caller(m_targets.take_response(e.attempt));
         const auto& w = m_waiting.at(e.request);
--- a/pollenreel/request/attempt.hpp
+++ b/pollenreel/request/attempt.hpp
@@ -37,6 +37,8 @@
     // How long the target keeps an idle connection open.
     std::optional<std::chrono::milliseconds> keep_alive = std::nullopt;
     bool departing = false; // the target is leaving and wants no new requests
+    // For how long the target wants no requests from this instance.
+    std::optional<std::chrono::milliseconds> back_off = std::nullopt;
 };
 
 class attempt {
