Do not take a refusal that a target repeats for the next response

What callers saw, in a report of other operators of such systems: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that it was running (REFUSED), or these ran at a second target as well (TWICE).

Cause, present here: targets refuse without naming the request, so such a refusal is taken for the response that is owed. On a kept connection a repetition of an earlier one looks alike. After a response of the wrong target the same request may even go to the same address, with the same id.

Change: a connection is kept only after a response that echoes the request's id and comes from the target that was meant. A repetition then names another request, is dropped, and the connection is not used again.

Tests: 'a repeated refusal is not taken for the next response' in egress_test; three of its four rows failed before. Servers now tell the caller's port, by which a stand-in knows a connection.

--- a/pollenreel/egress/target_pool.cpp
+++ b/pollenreel/egress/target_pool.cpp
@@ -108,7 +108,11 @@
 
 void target_pool::release(const exchange& e,
                           const request::response_info& info) {
-    if (info.id_matches && m_connections.at(e.connection)->reusable()) {
+    // Without the id, a late repetition of this response would pass for the
+    // response to the next request. After a wrong target the same id may be
+    // sent to this address again.
+    const bool is_unambiguous = info.echoes_id && !info.wrong_target;
+    if (is_unambiguous && m_connections.at(e.connection)->reusable()) {
         return m_tracker.on_answered(e.connection, m_clock.now(),
                                      info.keep_alive);
     }
--- a/pollenreel/egress/target_pool_test.cpp
+++ b/pollenreel/egress/target_pool_test.cpp
@@ -5,7 +5,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 
+#include <fmt/format.h>
+
 #include <map>
+#include <set>
 #include <string>
 
 namespace {
@@ -28,11 +31,7 @@
         : m_address(free_endpoint()),
           m_target(m_io, options(m_address),
                    [this](const http::request& r, http::responder respond) {
-                       if (is_silent) {
-                           m_pending_responses.push_back(std::move(respond));
-                           return;
-                       }
-                       respond({200, echo(r), "ok\n"});
+                       respond_to(r, respond);
                    }),
           m_pool(m_io, clock, options(), read_response,
                  [this](const request::attempt_event& e) {
@@ -42,7 +41,7 @@
     }
 
     // Opens and sends one attempt without waiting for its response.
-    base::attempt_id send(bool idempotent) {
+    base::attempt_id send(bool idempotent, const std::string& request = "r-1") {
         m_last_attempt = m_last_attempt.next();
         const auto id = m_last_attempt;
         request::open_attempt open;
@@ -53,7 +52,7 @@
         open.max_connections = 8;
         m_pool.open(open);
         run_until(id, "connected");
-        m_pool.send(id, {"GET", "/", {{id_header, "r-1"}}, ""}, "r-1", 10s);
+        m_pool.send(id, {"GET", "/", {{id_header, request}}, ""}, request, 10s);
         return id;
     }
     void await_response(base::attempt_id id) { run_until(id, "answered"); }
@@ -63,22 +62,58 @@
         return m_target.counters().accepted;
     }
 
+    // How the target refused the attempt.
+    [[nodiscard]] bool was_shed(base::attempt_id id) const {
+        return m_shed.contains(id);
+    }
+
     base::manual_clock clock;
     bool is_silent = false;
+    unsigned status = 200;
+    bool echoes_id = true;
+    // Writes the last refusal of a connection once more before the response to
+    // the next request on it.
+    bool repeats_refusals = false;
 
 private:
+    void respond_to(const http::request& r, const http::responder& respond) {
+        if (is_silent) {
+            m_pending_responses.push_back(respond);
+            return;
+        }
+        const auto id = echoes_id ? echo(r) : http::headers();
+        std::string text = fmt::format("HTTP/1.1 {} X\r\n", status);
+        for (const auto& h : id) {
+            text += fmt::format("{}: {}\r\n", h.name, h.value);
+        }
+        text += "Content-Length: 0\r\n\r\n";
+        const auto earlier = m_refusals.find(r.caller_port);
+        if (repeats_refusals && earlier != m_refusals.end()) {
+            return respond.abort(earlier->second + text);
+        }
+        if (status != 200) {
+            m_refusals[r.caller_port] = text;
+        }
+        respond({status, id, ""});
+    }
+
     static constexpr const char* id_header = "Pollenreel-Request-Id";
 
     static egress::target_pool_options options() {
         egress::target_pool_options o;
         o.response_limits = {4096, 4096};
+        o.skip_mismatched = true;
         return o;
     }
     static request::response_info read_response(const http::response& r,
                                                 std::string_view id) {
         request::response_info f;
         f.status = r.status;
-        f.id_matches = http::find(r.headers, id_header) == id;
+        const auto echoed = http::find(r.headers, id_header);
+        f.shed = r.status == 503;
+        f.wrong_target = r.status == 421;
+        f.echoes_id = echoed == id;
+        f.id_matches = echoed ? f.echoes_id : f.shed || f.wrong_target;
         return f;
     }
     static http::server_options options(const base::endpoint& address) {
@@ -97,6 +132,9 @@
     void record(const request::attempt_answered& e) {
         m_last_event[e.attempt] =
             e.response.id_matches ? "answered" : "mismatched";
+        if (e.response.shed || e.response.wrong_target) {
+            m_shed.insert(e.attempt);
+        }
     }
     void record(const request::attempt_lost& e) {
         m_last_event[e.attempt] = "lost";
@@ -115,6 +153,8 @@
     std::vector<http::responder> m_pending_responses;
     http::server m_target;
     std::map<base::attempt_id, std::string> m_last_event;
+    std::set<base::attempt_id> m_shed;
+    std::map<std::uint16_t, std::string> m_refusals; // by the caller's port
     base::attempt_id m_last_attempt;
     egress::target_pool m_pool;
 };
@@ -181,3 +221,36 @@
         CHECK(f.connects() == r.connects);
     }
 }
+
+// A target wrote an earlier refusal once more on a kept connection, and the
+// caller was told that a request had not run while it was running (REFUSED,
+// TWICE).
+TEST_CASE("a repeated refusal is not taken for the next response") {
+    struct row {
+        const char* name;
+        unsigned status; // of the refusal
+        bool echoes_id;
+        const char* next; // id of the next request; the first one is r-1
+    };
+    const row rows[] = {
+        {"a refusal without an id", 503, false, "r-2"},
+        {"a refusal with its id", 503, true, "r-2"},
+        {"a wrong target without an id", 421, false, "r-2"},
+        {"a wrong target, and the same request again", 421, true, "r-1"},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        pool_fixture f;
+        f.status = r.status;
+        f.echoes_id = r.echoes_id;
+        const auto refused = f.send(false);
+        f.await_response(refused);
+        CHECK(f.was_shed(refused));
+        f.status = 200;
+        f.echoes_id = true;
+        f.repeats_refusals = true;
+        const auto next = f.send(false, r.next);
+        f.await_response(next);
+        CHECK_FALSE(f.was_shed(next));
+    }
+}
--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t read_at_once = 4096; // bytes
 
 request to_request(bhttp::request<bhttp::string_body>&& from,
-                   std::uint32_t caller) {
+                   const tcp::endpoint& caller) {
     request r;
     r.method = std::string(from.method_string());
     r.path = std::string(from.target());
@@ -30,7 +30,10 @@
             {std::string(field.name_string()), std::string(field.value())});
     }
     r.body = std::move(from.body());
-    r.caller_address = caller;
+    if (caller.address().is_v4()) {
+        r.caller_address = caller.address().to_v4().to_uint();
+    }
+    r.caller_port = caller.port();
     return r;
 }
 
@@ -81,10 +84,7 @@
 session::session(tcp::socket socket, owner o)
     : m_socket(std::move(socket)), m_owner(o) {
     beast::error_code ignored;
-    const auto remote = m_socket.remote_endpoint(ignored);
-    if (!ignored && remote.address().is_v4()) {
-        m_caller = remote.address().to_v4().to_uint();
-    }
+    m_caller = m_socket.remote_endpoint(ignored);
     m_socket.set_option(tcp::no_delay(true), ignored);
     m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
     m_socket.non_blocking(true, ignored);
--- a/pollenreel/http/internal/session.hpp
+++ b/pollenreel/http/internal/session.hpp
@@ -84,7 +84,7 @@
     std::deque<std::shared_ptr<slot>> m_owed; // in the order of the requests
     std::optional<base::time_point> m_overdue_at;
     std::optional<base::time_point> m_idle_since;
-    std::uint32_t m_caller = 0; // IPv4, host order
+    boost::asio::ip::tcp::endpoint m_caller;
     bool m_reading = false;
     bool m_keep_alive = true; // as the last request read asked
     bool m_refused = false;   // the last answer owed is our refusal
--- a/pollenreel/http/message.hpp
+++ b/pollenreel/http/message.hpp
@@ -30,7 +30,9 @@
     std::string path = "/"; // with the query
     http::headers headers;
     std::string body;
-    std::uint32_t caller_address = 0; // IPv4, host order; servers fill it in
+    // Servers fill these in.
+    std::uint32_t caller_address = 0; // IPv4, host order
+    std::uint16_t caller_port = 0;
 };
 
 struct response {
--- a/pollenreel/node/traffic_thread.cpp
+++ b/pollenreel/node/traffic_thread.cpp
@@ -56,6 +56,7 @@
     facts.status = r.status;
     facts.shed = http::find(r.headers, header_shed).has_value();
     facts.id_matches = http::find(r.headers, header_request_id) == request_id;
+    facts.echoes_id = facts.id_matches;
     return facts;
 }
 
--- a/pollenreel/request/attempt.hpp
+++ b/pollenreel/request/attempt.hpp
@@ -27,8 +27,11 @@
 // Properties of a complete response from a target.
 struct response_info {
     unsigned status = 0;
-    bool shed = false;       // refused with the documented not-run response
-    bool id_matches = false; // echoes the id of the request
+    bool shed = false; // refused with the documented not-run response
+    // Echoes the id of the request, or is a refusal that echoes none.
+    bool id_matches = false;
+    // Echoes the id: a repetition of this response is then recognized.
+    bool echoes_id = false;
     std::uint64_t bytes = 0; // header and body
     bool intact = true;      // headers show an unmodified target response
     // A different target now owns the address; it did not execute the request.
