Bound the memory of responses that do not end

Cause: a body was kept up to 64 MB for each attempt, without a bound on their sum, on machines of 160 MB; and the buffer for what is not body had none: an endless chunk extension was kept until the attempt's time-out.

Change: the buffer is bounded by the limit of the head and one read. All responses that are being received share a budget of 32 MB; beyond it those over 64 KB are cut off and their attempts end as lost, so that small responses are not harmed by large ones.

--- a/pollenreel/egress/target_pool.cpp
+++ b/pollenreel/egress/target_pool.cpp
@@ -20,8 +20,11 @@
 target_pool::target_pool(boost::asio::io_context& io, const base::clock& clock,
                          target_pool_options options, response_reader reader,
                          event_handler on_event)
-    : m_io(io), m_clock(clock), m_options(options), m_reader(std::move(reader)),
-      m_on_event(std::move(on_event)), m_tracker(m_options.connections) {}
+    : m_io(io), m_clock(clock), m_options(options),
+      m_budget(
+          std::make_shared<http::receive_budget>(options.max_receiving_bytes)),
+      m_reader(std::move(reader)), m_on_event(std::move(on_event)),
+      m_tracker(m_options.connections) {}
 
 void target_pool::open(const request::open_attempt& o) {
     const auto id = o.attempt;
@@ -73,6 +76,7 @@
     }
     http::answer_terms terms;
     terms.allow_close_delimited = m_options.allow_close_delimited;
+    terms.budget = m_budget;
     if (m_options.skip_mismatched) {
         terms.matches = [this, request_id](const http::response& candidate) {
             return m_reader(candidate, request_id).id_matches;
--- a/pollenreel/egress/target_pool.hpp
+++ b/pollenreel/egress/target_pool.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/unordered/unordered_flat_map.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -31,6 +32,8 @@
     // Drops a response to another request and waits for the next one. If false,
     // such a response ends the attempt as a wrong answer.
     bool skip_mismatched = false;
+    // Memory for the bodies of responses that are being received.
+    std::size_t max_receiving_bytes = std::size_t{32} * 1024 * 1024;
 };
 
 // Extracts the properties of a response to the request with this id.
@@ -90,6 +93,7 @@
     boost::asio::io_context& m_io;
     const base::clock& m_clock;
     target_pool_options m_options;
+    std::shared_ptr<http::receive_budget> m_budget;
     response_reader m_reader;
     event_handler m_on_event;
     boost::unordered_flat_map<base::attempt_id, exchange> m_exchanges;
--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 
 #include <optional>
+#include <utility>
 
 namespace pollenreel::http {
 
@@ -41,6 +42,8 @@
 constexpr std::chrono::duration<int> probe_after{1};
 constexpr std::chrono::duration<int> probe_interval{1};
 constexpr int unanswered_probes = 2;
+// Beast's default for a read.
+constexpr std::size_t read_at_once = 64 * 1024;
 // Answers to other requests that an exchange drops before it gives up.
 constexpr int most_strays = 4;
 
@@ -55,7 +58,8 @@
     if (e == bhttp::error::partial_message) {
         return fail(error::incomplete_message, e);
     }
-    if (e == bhttp::error::body_limit || e == bhttp::error::header_limit) {
+    if (e == bhttp::error::body_limit || e == bhttp::error::header_limit ||
+        e == bhttp::error::buffer_overflow) {
         return fail(error::too_large, e);
     }
     if (e.category() ==
@@ -82,6 +86,9 @@
 class client_connection::state : public std::enable_shared_from_this<state> {
 public:
     explicit state(asio::io_context& io) : m_stream(io) {}
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
+    ~state() { release_budget(); }
 
     void connect(const base::endpoint& to, std::chrono::milliseconds timeout,
                  connected done) {
@@ -105,6 +112,8 @@
         m_limits = l;
         m_strays = 0;
         m_reusable = false;
+        // Bounds what is not part of the body, such as chunk extensions.
+        m_buffer.max_size(m_limits.header_bytes + read_at_once);
         m_request.emplace(bhttp::string_to_verb(r.method), r.path, 11);
         if (m_request->method() == bhttp::verb::unknown) {
             m_request->method_string(r.method);
@@ -189,7 +198,15 @@
         if (m_request->method() == bhttp::verb::head) {
             m_parser->skip(true);
         }
-        bhttp::async_read(
+        bhttp::async_read_header(
+            m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](beast::error_code e, std::size_t) {
+                self->on_read(e);
+            });
+    }
+
+    void read_body() {
+        bhttp::async_read_some(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](beast::error_code e, std::size_t) {
                 self->on_read(e);
@@ -203,6 +220,34 @@
         if (e) {
             return finish(read_failure(e));
         }
+        if (!grow()) {
+            return finish(base::failure{make_error_code(error::too_large),
+                                        "no memory left for the answer"});
+        }
+        if (!m_parser->is_done()) {
+            return read_body();
+        }
+        on_answer();
+    }
+
+    // Accounts for the body received so far; false if it has to be cut off.
+    bool grow() {
+        if (!m_terms.budget) {
+            return true;
+        }
+        const auto size = m_parser->get().body().size();
+        const auto bytes = size - m_received;
+        m_received = size;
+        return m_terms.budget->try_grow(bytes, size);
+    }
+
+    void release_budget() {
+        if (m_terms.budget) {
+            m_terms.budget->release(std::exchange(m_received, 0));
+        }
+    }
+
+    void on_answer() {
         const bool close_delimited = m_parser->need_eof();
         if (close_delimited && !m_terms.allow_close_delimited) {
             return finish(
@@ -217,6 +262,7 @@
                     base::failure{make_error_code(error::malformed_message),
                                   "the answer belongs to another request"});
             }
+            release_budget();
             return read_answer();
         }
         m_reusable = keep_alive && !close_delimited && m_strays == 0 &&
@@ -226,6 +272,7 @@
     }
 
     void finish(base::result<response> r) {
+        release_budget();
         auto done = std::move(m_answered);
         m_answered = nullptr;
         done(std::move(r));
@@ -240,7 +287,8 @@
     answered m_answered;
     answer_terms m_terms;
     limits m_limits;
-    int m_strays = 0; // answers to other requests, in this exchange
+    std::size_t m_received = 0; // of the body, as accounted for
+    int m_strays = 0;           // answers to other requests, in this exchange
     bool m_reusable = false;
     bool m_closed = false;
 };
--- a/pollenreel/http/client_connection.hpp
+++ b/pollenreel/http/client_connection.hpp
@@ -5,6 +5,7 @@
 
 #include "pollenreel/base/endpoint.hpp"
 #include "pollenreel/http/message.hpp"
+#include "pollenreel/http/receive_budget.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -22,6 +23,8 @@
     // False for an answer to some other request. It is dropped, the next one
     // is awaited, and the connection is not used again. Empty: all match.
     std::function<bool(const response&)> matches;
+    // Shared by all exchanges whose memory it bounds; null: no bound.
+    std::shared_ptr<receive_budget> budget;
 };
 
 // All members and callbacks run on the io_context's one thread. Callbacks are
--- /dev/null
+++ b/pollenreel/http/receive_budget.hpp
@@ -0,0 +1,35 @@
+// Bounds the memory of messages that are being received at once. Beyond it the
+// large ones are cut off, which leaves room for the others.
+//
+//   auto budget = std::make_shared<http::receive_budget>(32 << 20);
+//   if (!budget->try_grow(received, size)) { ... } // cut it off
+//   budget->release(size);
+#pragma once
+
+#include <cstddef>
+
+namespace pollenreel::http {
+
+// Not thread-safe.
+class receive_budget {
+public:
+    explicit receive_budget(std::size_t limit) : m_limit(limit) {}
+
+    // A message grew by `bytes` to `size`. Returns whether it may grow on.
+    [[nodiscard]] bool try_grow(std::size_t bytes, std::size_t size) {
+        m_used += bytes;
+        return m_used <= m_limit || size <= always_allowed;
+    }
+    // A message of that size has been handed on, or cut off.
+    void release(std::size_t size) { m_used -= size; }
+    [[nodiscard]] std::size_t used() const { return m_used; }
+
+private:
+    // A message up to this size is never cut off.
+    static constexpr std::size_t always_allowed = 64 * 1024;
+
+    std::size_t m_limit;
+    std::size_t m_used = 0;
+};
+
+} // namespace pollenreel::http
