Keep all requests to a target within the limit that it names

What callers saw: nothing by itself; targets in need got far more requests than they had said they take from all instances together (LIMIT).

Cause: the limit in a target's responses was not read.

Change: it is decoded in platform/ and kept in target_state for that start of the target, until a response to a later request no longer names it. Without any message, share_limit divides it: rendezvous hashing selects the instances that send, in the target's region and abroad as its slots suggest, so few that all their saved requests together stay within half of what a window of 4 s may hold beyond the rate; the others probe in short windows that add up to a tenth of the limit, so that they learn when it ends. rate_limiter is a token bucket, or the probe's window. Placement passes over a target whose share is used up; every attempt counts, repeats and hedges too. If no target may be sent to, the request is refused at once with the time until one may.

--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -3,10 +3,13 @@
 #include "pollenreel/dispatch/admission.hpp"
 #include "pollenreel/dispatch/cold_quota.hpp"
 #include "pollenreel/dispatch/internal/default_retry_after.hpp"
+#include "pollenreel/dispatch/limit_share.hpp"
+#include "pollenreel/fleet/rendezvous.hpp"
 
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace pollenreel::dispatch {
 
@@ -59,6 +62,7 @@
 
 void core::on(const view_changed& e, base::time_point now, effects&) {
     m_view = e.view;
+    ++m_view_number;
     m_departing.update(m_view->targets, now);
     m_targets_by_service.clear();
     std::set<base::target_id> present;
@@ -78,7 +82,7 @@
     }
     std::erase_if(m_target_states, [&](const auto& one) {
         return !present.contains(one.first) && one.second.in_flight() == 0 &&
-               !one.second.backs_off(now);
+               !one.second.must_be_kept(now);
     });
     std::erase_if(m_misaddressed, [&](const auto& one) {
         return !present.contains(one.first);
@@ -185,10 +189,28 @@
            cold_quota(bound, t.id, m_options.self, m_view->instances);
 }
 
-bool core::is_withheld(const fleet::target& t, const target_state& s,
-                       base::time_point now) const {
-    return s.backs_off_until(t.incarnation, now) ||
-           is_cold_quota_exhausted(t, s, now);
+void core::update_limit_share(const fleet::target& t, target_state& s,
+                              base::time_point now) {
+    const auto limit = s.limit(t.incarnation);
+    if (!limit || !s.needs_share(m_view_number)) {
+        return;
+    }
+    double home_slots = 0;
+    double all_slots = 0;
+    for (const auto* other : m_targets_by_service[t.service]) {
+        all_slots += other->slots;
+        home_slots += other->region == t.region ? other->slots : 0;
+    }
+    fleet::instance self;
+    self.id = m_options.self;
+    self.region = m_options.region;
+    const auto share =
+        share_limit({*limit, t.id, t.region,
+                     home_fraction(home_slots, all_slots, m_options.regions)},
+                    self, m_view->instances);
+    const auto hash = fleet::rendezvous_score(self.id.str(), t.id.str());
+    s.set_share(share, std::ldexp(static_cast<double>(hash), -64),
+                m_view_number, now);
 }
 
 milliseconds core::retry_delay(const base::service_id& service,
@@ -203,7 +225,7 @@
         const auto until =
             state == m_target_states.end()
                 ? std::nullopt
-                : state->second.backs_off_until(t->incarnation, now);
+                : state->second.withheld_until(t->incarnation, now);
         if (!until) {
             return default_retry_after;
         }
@@ -229,9 +251,11 @@
                 home_regions.end()) {
             continue;
         }
-        const auto& state = m_target_states[t->id];
+        auto& state = m_target_states[t->id];
+        update_limit_share(*t, state, now);
         all.push_back({t, &state, t->region != m_options.region,
-                       is_withheld(*t, state, now)});
+                       state.withheld_until(t->incarnation, now) ||
+                           is_cold_quota_exhausted(*t, state, now)});
     }
     return all;
 }
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -131,10 +131,16 @@
     base::target_id target;
     std::chrono::milliseconds lasts{};
 };
+// A target named a limit for the first time, or no longer names one.
+struct target_limit_changed {
+    base::request_id request; // whose response said so
+    base::target_id target;
+    std::optional<double> per_second;
+};
 using effect =
     std::variant<open_attempt, request::send_attempt, request::abandon_attempt,
                  request::forward_response, refuse, attempt_failed,
-                 target_departing, target_backed_off>;
+                 target_departing, target_backed_off, target_limit_changed>;
 using effects = std::vector<effect>;
 
 // Counts since the start of the process.
@@ -231,10 +237,9 @@
     [[nodiscard]] bool is_cold_quota_exhausted(const fleet::target& t,
                                                const target_state& s,
                                                base::time_point now) const;
-    // Whether this instance must not send to the target now.
-    [[nodiscard]] bool is_withheld(const fleet::target& t,
-                                   const target_state& s,
-                                   base::time_point now) const;
+    // Computes this instance's part of the target's limit if that is due.
+    void update_limit_share(const fleet::target& t, target_state& s,
+                            base::time_point now);
     // When a request for which no target is usable may be sent again.
     [[nodiscard]] std::chrono::milliseconds
     retry_delay(const base::service_id& service, base::time_point now) const;
@@ -281,6 +286,7 @@
     options m_options;
     base::random m_random;
     fleet::view_ptr m_view;
+    std::uint64_t m_view_number = 0;
     std::optional<base::time_point> m_stop_at;
     bool m_last_answer_late = false;
     counters m_counters;
--- a/pollenreel/dispatch/core_attempts.cpp
+++ b/pollenreel/dispatch/core_attempts.cpp
@@ -244,6 +244,15 @@
         m_target_states[a.target].back_off(a.incarnation, now + *r.back_off);
         out.emplace_back(target_backed_off{a.request, a.target, *r.back_off});
     }
+    auto& state = m_target_states[a.target];
+    // A refusal may come before the target knows the request, or its own state.
+    const bool ends_limit = !r.rate_limit && r.echoes_id && !r.shed &&
+                            state.on_no_limit(a.incarnation, a.started_at);
+    if (ends_limit ||
+        (r.rate_limit && state.on_limit(a.incarnation, *r.rate_limit, now))) {
+        out.emplace_back(
+            target_limit_changed{a.request, a.target, r.rate_limit});
+    }
 }
 
 void core::forward(base::attempt_id id, pending_request& pending,
--- a/pollenreel/dispatch/target_state.cpp
+++ b/pollenreel/dispatch/target_state.cpp
@@ -32,9 +32,15 @@
 // differences and network delay.
 constexpr base::duration cold_window = 1100ms;
 
+// How long a limit is remembered of a target that is missing from the view.
+constexpr base::duration limit_lifetime = 10min;
+
 } // namespace
 
 void target_state::on_attempt_started(base::time_point now) {
+    if (m_limit) {
+        m_limiter.on_sent(now);
+    }
     ++m_in_flight;
     m_open_since.push_back(now);
     m_sent_at.push_back(now);
@@ -131,12 +137,61 @@
 std::optional<base::time_point>
 target_state::backs_off_until(std::int64_t incarnation,
                               base::time_point now) const {
-    if (!backs_off(now) || m_back_off_incarnation != incarnation) {
+    if (now >= m_back_off_until || m_back_off_incarnation != incarnation) {
         return std::nullopt;
     }
     return m_back_off_until;
 }
 
+bool target_state::on_limit(std::int64_t incarnation, double per_second,
+                            base::time_point now) {
+    const bool is_new = !m_limit || m_limit->incarnation != incarnation;
+    if (is_new) {
+        m_limit = {incarnation, per_second, now, now};
+    }
+    m_limit->per_second = per_second;
+    m_limit->told_at = now;
+    m_share_view = 0;
+    return is_new;
+}
+
+bool target_state::on_no_limit(std::int64_t incarnation,
+                               base::time_point sent_at) {
+    // A response may be older than the one that named the limit.
+    if (!limit(incarnation) || sent_at <= m_limit->first_told_at) {
+        return false;
+    }
+    m_limit.reset();
+    return true;
+}
+
+std::optional<double> target_state::limit(std::int64_t incarnation) const {
+    return m_limit && m_limit->incarnation == incarnation
+               ? std::optional(m_limit->per_second)
+               : std::nullopt;
+}
+
+void target_state::set_share(const limit_share& share, double phase,
+                             std::uint64_t view_number, base::time_point now) {
+    m_limiter.set(share, phase, now);
+    m_share_view = view_number;
+}
+
+std::optional<base::time_point>
+target_state::withheld_until(std::int64_t incarnation,
+                             base::time_point now) const {
+    auto until = backs_off_until(incarnation, now);
+    if (limit(incarnation) && !m_limiter.allows(now)) {
+        until = std::max(until.value_or(now), m_limiter.next_at(now));
+    }
+    return until;
+}
+
+bool target_state::must_be_kept(base::time_point now) const {
+    return now < m_back_off_until ||
+           (m_limit && now - m_limit->told_at < limit_lifetime);
+}
+
 bool target_state::unresponsive(base::duration limit,
                                 base::time_point now) const {
     return !m_open_since.empty() && now - m_open_since.front() > limit &&
--- a/pollenreel/dispatch/target_state.hpp
+++ b/pollenreel/dispatch/target_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "pollenreel/base/clock.hpp"
+#include "pollenreel/dispatch/rate_limiter.hpp"
 #include "pollenreel/dispatch/recent_objects.hpp"
 #include "pollenreel/request/attempt.hpp"
 
@@ -55,9 +56,28 @@
     // End of a back-off of that start of the target; nullopt if there is none.
     [[nodiscard]] std::optional<base::time_point>
     backs_off_until(std::int64_t incarnation, base::time_point now) const;
-    [[nodiscard]] bool backs_off(base::time_point now) const {
-        return now < m_back_off_until;
+
+    // That start of the target named a limit for all instances together.
+    // Returns whether it had none before.
+    bool on_limit(std::int64_t incarnation, double per_second,
+                  base::time_point now);
+    // A request that was sent at `sent_at` was answered without a limit.
+    // Returns whether that ended one.
+    bool on_no_limit(std::int64_t incarnation, base::time_point sent_at);
+    // The limit of that start of the target; nullopt if it has none.
+    [[nodiscard]] std::optional<double> limit(std::int64_t incarnation) const;
+    // This instance's part of the limit; it stands until the limit or the view
+    // changes.
+    [[nodiscard]] bool needs_share(std::uint64_t view_number) const {
+        return m_share_view != view_number;
     }
+    void set_share(const limit_share& share, double phase,
+                   std::uint64_t view_number, base::time_point now);
+    // When that start of the target may be sent a request; nullopt if now.
+    [[nodiscard]] std::optional<base::time_point>
+    withheld_until(std::int64_t incarnation, base::time_point now) const;
+    // Whether the state has to outlive the target's absence from the view.
+    [[nodiscard]] bool must_be_kept(base::time_point now) const;
 
     [[nodiscard]] recent_objects& objects() { return m_objects; }
     [[nodiscard]] const recent_objects& objects() const { return m_objects; }
@@ -84,6 +104,15 @@
     base::time_point m_last_answer_at{};
     base::time_point m_back_off_until{};
     std::int64_t m_back_off_incarnation = 0;
+    struct told_limit {
+        std::int64_t incarnation = 0;
+        double per_second = 0;
+        base::time_point first_told_at{};
+        base::time_point told_at{};
+    };
+    std::optional<told_limit> m_limit;
+    rate_limiter m_limiter;
+    std::uint64_t m_share_view = 0; // number of the view it is computed from
     recent_objects m_objects;
     // Starts of the open attempts, oldest first.
     std::deque<base::time_point> m_open_since;
--- a/pollenreel/entry/request_log.cpp
+++ b/pollenreel/entry/request_log.cpp
@@ -154,6 +154,16 @@
     }
 }
 
+void request_log::target_limit_changed(
+    const request_name& r, const dispatch::target_limit_changed& e) {
+    m_log.info("target_limit_changed",
+               {{"request", r.caller_id},
+                {"target", e.target.str()},
+                {"per_second", e.per_second
+                                   ? boost::json::value(rounded(*e.per_second))
+                                   : boost::json::value()}});
+}
+
 void request_log::caller_left(const request_name& r, base::duration waited,
                               base::time_point now) {
     if (begin_trouble(r, now)) {
--- a/pollenreel/entry/request_log.hpp
+++ b/pollenreel/entry/request_log.hpp
@@ -41,6 +41,8 @@
     void target_backed_off(const request_name& r,
                            const dispatch::target_backed_off& e,
                            base::time_point now);
+    void target_limit_changed(const request_name& r,
+                              const dispatch::target_limit_changed& e);
     // To be called about once a second: says what was held back.
     void report_held_back();
 
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -292,6 +292,11 @@
             {e.request, m_waiting.at(e.request).caller_id}, e, m_clock.now());
     }
 
+    void run(const dispatch::target_limit_changed& e) {
+        m_requests.target_limit_changed(
+            {e.request, m_waiting.at(e.request).caller_id}, e);
+    }
+
     void run(const request::forward_response& e) {
         auto answer = m_protocol.to_caller(m_targets.take_response(e.attempt));
         const auto& w = m_waiting.at(e.request);
--- a/pollenreel/request/attempt.hpp
+++ b/pollenreel/request/attempt.hpp
@@ -42,6 +42,8 @@
     bool departing = false; // the target is leaving and wants no new requests
     // For how long the target wants no requests from this instance.
     std::optional<std::chrono::milliseconds> back_off = std::nullopt;
+    // Requests a second that the target accepts from all instances together.
+    std::optional<double> rate_limit = std::nullopt;
 };
 
 class attempt {
