Log a change of relay, not only the return to the store

Cause: with a second relay a follower can leave the first one without watching the store itself, and relay_left was written only for the latter.

Change: relay_left is written for both and names what comes next.

--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -133,13 +133,17 @@
     }
 
     void on_relayed(const std::optional<fleet::relay_response>& answer) {
+        const auto polled = m_follower.relay();
         const auto actions =
             m_follower.on_relay_response(answer, m_clock.now());
-        if (!actions.empty() &&
-            std::holds_alternative<fleet::follower::watch>(actions.front())) {
+        const bool watches =
+            !actions.empty() &&
+            std::holds_alternative<fleet::follower::watch>(actions.front());
+        if (watches || m_follower.relay() != polled) {
             ++m_counts.relay_failures;
             m_log.info("relay_left",
-                       {{"relay", m_relay.watcher.str()},
+                       {{"relay", polled.watcher.str()},
+                        {"next", m_follower.relay().watcher.str()},
                         {"problem", relay::failure_reason(answer)},
                         {"waited_ms", std::chrono::duration_cast<milliseconds>(
                                           m_clock.now() - m_polled_at)
