--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -43,7 +43,7 @@
 constexpr std::chrono::duration<int> probe_interval{1};
 constexpr int unanswered_probes = 2;
 // Beast's default for a read.
-constexpr std::size_t read_at_once = 64 * 1024;
+constexpr std::size_t read_at_once = 65'536;
 // Answers to other requests that an exchange drops before it gives up.
 constexpr int most_strays = 4;
 
--- a/pollenreel/http/endless_response_test.cpp
+++ b/pollenreel/http/endless_response_test.cpp
@@ -114,7 +114,7 @@
         CAPTURE(r.name);
         asio::io_context io;
         const endless_server server(io, r.head, r.body);
-        exchange e(io, server.at(), {8 * 1024, 1024 * 1024}, nullptr);
+        exchange e(io, server.at(), {8 * 1024, 1024ULL * 1024}, nullptr);
         while (!e.result) {
             REQUIRE(io.run_one() > 0);
         }
@@ -124,7 +124,7 @@
 }
 
 TEST_CASE("many responses without end stay within one budget of memory") {
-    constexpr std::size_t limit = 1024 * 1024;
+    constexpr std::size_t limit = 1'048'576;
     constexpr std::size_t count = 16;
     asio::io_context io;
     const endless_server endless(io, "HTTP/1.1 200 OK\r\n\r\n",
@@ -133,7 +133,7 @@
         io, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n",
         std::string(1000, 'x'));
     const auto budget = std::make_shared<http::receive_budget>(limit);
-    const http::limits large{8 * 1024, 64 * 1024 * 1024};
+    const http::limits large{8 * 1024, 64ULL * 1024 * 1024};
     std::vector<std::unique_ptr<exchange>> all;
     for (std::size_t i = 0; i < count; ++i) {
         all.push_back(
--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -65,6 +65,10 @@
     void abort(std::string bytes) override {
         m_session->abort(std::move(bytes));
     }
+    void flood(std::string first, std::string bytes) override {
+        m_session->flood(first,
+                         std::make_shared<std::string>(std::move(bytes)));
+    }
     void watch(std::function<void()> notify) override {
         gone = std::move(notify);
         if (!m_session->m_reading) {
@@ -303,6 +307,19 @@
                           beast::error_code, std::size_t) { self->close(); });
 }
 
+void session::flood(const std::string& next,
+                    std::shared_ptr<std::string> bytes) {
+    auto kept = std::make_shared<std::string>(next);
+    asio::async_write(m_socket, asio::buffer(*kept),
+                      [self = shared_from_this(), kept,
+                       bytes](beast::error_code e, std::size_t) {
+                          if (e || self->m_closed) {
+                              return self->close();
+                          }
+                          self->flood(*bytes, bytes);
+                      });
+}
+
 void session::write_next() {
     if (m_closed || m_answer || m_owed.empty() || !m_owed.front()->ready) {
         return;
--- a/pollenreel/http/receive_budget.hpp
+++ b/pollenreel/http/receive_budget.hpp
@@ -26,7 +26,7 @@
 
 private:
     // A message up to this size is never cut off.
-    static constexpr std::size_t always_allowed = 64 * 1024;
+    static constexpr std::size_t always_allowed = 65'536;
 
     std::size_t m_limit;
     std::size_t m_used = 0;
--- a/pollenreel/http/server.cpp
+++ b/pollenreel/http/server.cpp
@@ -42,6 +42,12 @@
     }
 }
 
+void responder::flood(std::string head, std::string bytes) const {
+    if (const auto to = m_to.lock()) {
+        to->flood(std::move(head), std::move(bytes));
+    }
+}
+
 void responder::on_gone(std::function<void()> notify) const {
     if (const auto to = m_to.lock()) {
         to->watch(std::move(notify));
--- a/pollenreel/http/server.hpp
+++ b/pollenreel/http/server.hpp
@@ -35,6 +35,7 @@
         virtual ~waiting() = default;
         virtual void answer(response r) = 0;
         virtual void abort(std::string bytes) = 0;
+        virtual void flood(std::string head, std::string bytes) = 0;
         virtual void watch(std::function<void()> notify) = 0;
     };
 
@@ -43,6 +44,9 @@
     // Sends `bytes` as they are and closes the connection: for stand-ins that
     // misbehave on purpose.
     void abort(std::string bytes) const;
+    // Sends `head` and then `bytes` again and again until the caller closes:
+    // for stand-ins as well.
+    void flood(std::string head, std::string bytes) const;
     // `notify` is called at most once, when the caller closes its connection
     // or its sending side before it is answered.
     void on_gone(std::function<void()> notify) const;
