Let a suspended follower catch up through a relay, and fetch values there again

Cause: after a suspension the state is older than any bound, no time was left for a poll, and the instance watched the store for 5.5 s with every version of a storm. And a value whose read from the store failed was only read there again, though the relay may be in reach and the store may not.

Change: a state older than the bound is brought up to date by a short poll; a value is fetched from the relay again before the store is read.

--- a/pollenreel/entry/settings.cpp
+++ b/pollenreel/entry/settings.cpp
@@ -69,8 +69,8 @@
         "lowest level that is logged",
         [](settings& s, text v) { return store_level(s.log_level, v); }},
     row{"instance.link_mbps", "0-1000000", "0",
-        "bandwidth of the machine's link in Mbit/s, 0 if unknown; the instance "
-        "with the widest link watches the store for its region",
+        "bandwidth of the machine's link in Mbit/s, 0 if unknown; the two "
+        "instances with the widest links watch the store for their region",
         [](settings& s, text v) {
             return store_real(s.link_mbps, v, 0, 1'000'000);
         }},
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -150,12 +150,16 @@
     // maximum age is left to wait.
     const auto age = std::chrono::duration_cast<milliseconds>(
         now - m_state.last_contact_at());
-    const auto timeout = max_contact_age() - age;
+    auto timeout = max_contact_age() - age;
     const auto percent = [&](int p) {
         return m_options.departure_bound * p / 100;
     };
     if (timeout < percent(min_poll_percent)) {
-        return std::nullopt;
+        if (age < m_options.departure_bound) {
+            return std::nullopt;
+        }
+        // The process was suspended; a relay is the quickest way to catch up.
+        timeout = percent(min_poll_percent);
     }
     return poll{
         m_relay.endpoint,
@@ -306,13 +310,17 @@
     auto next = follow(now);
     for (const auto& r : a->references) {
         m_unread[r.key] = r.at;
-        next.emplace_back(
-            fetch{relay_endpoint, r.key,
-                  m_options.departure_bound * fetch_timeout_percent / 100});
+        next.emplace_back(make_fetch(relay_endpoint, r.key));
     }
     return next;
 }
 
+follower::fetch follower::make_fetch(const base::endpoint& relay,
+                                     const std::string& key) const {
+    return {relay, key,
+            m_options.departure_bound * fetch_timeout_percent / 100};
+}
+
 follower::actions
 follower::on_fetch_response(const std::string& key,
                             const std::optional<store::key_change>& c,
@@ -406,8 +414,11 @@
     }
     if (m_read_retry_at && now >= *m_read_retry_at) {
         m_read_retry_at.reset();
+        // This instance may be cut off from the store, but not from the relay.
         for (const auto& [key, at] : m_unread) {
-            due.emplace_back(read{key});
+            due.push_back(m_polling_relay
+                              ? action(make_fetch(m_relay.endpoint, key))
+                              : action(read{key}));
         }
     }
     return due;
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -133,6 +133,8 @@
     actions watch_store();
     // The poll of the chosen relay, unless too little time is left for it.
     [[nodiscard]] std::optional<poll> make_poll(base::time_point now) const;
+    [[nodiscard]] fetch make_fetch(const base::endpoint& relay,
+                                   const std::string& key) const;
     // Does not poll the chosen relay for a while.
     void avoid_relay(base::time_point now);
     [[nodiscard]] relay_choice choose_relay_now(base::time_point now);
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -324,7 +324,10 @@
         CHECK(std::holds_alternative<follower::read>(read[0]));
         CHECK(f.on_read_reply("c", r.reply, start_time).empty());
         const auto retried = f.tick(start_time + 1s);
-        CHECK(retried.empty() == r.is_known);
+        REQUIRE(retried.empty() == r.is_known);
+        if (!r.is_known) { // from the relay, as the store may be out of reach
+            CHECK(std::holds_alternative<follower::fetch>(retried.front()));
+        }
         const auto version =
             known.build_view()->routes->source().version.value();
         CHECK(version ==
@@ -374,3 +377,27 @@
         CHECK_FALSE(f.make_fetch_response("x", start_time).has_value());
     }
 }
+
+TEST_CASE("a follower that was suspended catches up through a relay") {
+    struct row {
+        const char* name;
+        std::chrono::milliseconds suspended;
+        bool polls;
+    };
+    const row rows[] = {
+        {"too old to wait for a relay", 2400ms, false},
+        {"older than its bound in any case", 10s, true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        fleet_state known({}, {});
+        follower f({"", make_instance("i-0", "a"), departure_bound}, decode,
+                   known, [](const change&, effect) {});
+        CHECK(f.start(start_time).size() == 1);
+        CHECK(f.on_list_reply(two_watchers(), start_time).size() == 1);
+        const auto then =
+            f.on_relay_response(std::nullopt, start_time + r.suspended);
+        REQUIRE(then.size() == 1);
+        CHECK(std::holds_alternative<follower::poll>(then[0]) == r.polls);
+    }
+}
