Log limits of targets within the bound of lines about trouble

Cause: a target whose limit comes and goes would have a line each time.

Change: target_limit_changed counts among the lines about trouble.

Measured: builds; entry_test passes.

--- a/pollenreel/entry/request_log.cpp
+++ b/pollenreel/entry/request_log.cpp
@@ -154,8 +154,12 @@
     }
 }
 
-void request_log::target_limit_changed(
-    const request_name& r, const dispatch::target_limit_changed& e) {
+void request_log::target_limit_changed(const request_name& r,
+                                       const dispatch::target_limit_changed& e,
+                                       base::time_point now) {
+    if (!m_trouble.allow(now)) {
+        return;
+    }
     m_log.info("target_limit_changed",
                {{"request", r.caller_id},
                 {"target", e.target.str()},
--- a/pollenreel/entry/request_log.hpp
+++ b/pollenreel/entry/request_log.hpp
@@ -42,7 +42,8 @@
                            const dispatch::target_backed_off& e,
                            base::time_point now);
     void target_limit_changed(const request_name& r,
-                              const dispatch::target_limit_changed& e);
+                              const dispatch::target_limit_changed& e,
+                              base::time_point now);
     // To be called about once a second: says what was held back.
     void report_held_back();
 
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -294,7 +294,7 @@
 
     void run(const dispatch::target_limit_changed& e) {
         m_requests.target_limit_changed(
-            {e.request, m_waiting.at(e.request).caller_id}, e);
+            {e.request, m_waiting.at(e.request).caller_id}, e, m_clock.now());
     }
 
     void run(const request::forward_response& e) {
