Mend what clang-tidy found in the new tests and the stand-ins' server

Cause: the linter had not been run on the last units.

Change: constants without widening, parameters by reference, an unused name.

Measured: scripts/lint passes on the units named; http_test and egress_test pass.

--- a/pollenreel/dispatch/core_responses_test.cpp
+++ b/pollenreel/dispatch/core_responses_test.cpp
@@ -10,7 +10,6 @@
 using namespace pollenreel::dispatch::testing;
 using namespace std::chrono_literals;
 using request::outcome;
-using request::reason;
 
 namespace {
 
--- a/pollenreel/egress/target_pool_test.cpp
+++ b/pollenreel/egress/target_pool_test.cpp
@@ -29,10 +29,11 @@
 public:
     pool_fixture()
         : m_address(free_endpoint()),
-          m_target(m_io, options(m_address),
-                   [this](const http::request& r, http::responder respond) {
-                       respond_to(r, respond);
-                   }),
+          m_target(
+              m_io, options(m_address),
+              [this](const http::request& r, const http::responder& respond) {
+                  respond_to(r, respond);
+              }),
           m_pool(m_io, clock, options(), read_response,
                  [this](const request::attempt_event& e) {
                      std::visit([&](const auto& one) { record(one); }, e);
--- a/pollenreel/http/endless_response_test.cpp
+++ b/pollenreel/http/endless_response_test.cpp
@@ -88,7 +88,7 @@
         std::string body;
         http::error expected;
     };
-    const std::string bytes(16 * 1024, 'x');
+    const std::string bytes(16'384, 'x');
     const row rows[] = {
         {"bytes that are no head", "", bytes, http::error::malformed_message},
         {"a head with endless fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n",
@@ -128,7 +128,7 @@
     constexpr std::size_t count = 16;
     asio::io_context io;
     const endless_server endless(io, "HTTP/1.1 200 OK\r\n\r\n",
-                                 std::string(16 * 1024, 'x'));
+                                 std::string(16'384, 'x'));
     const endless_server small(
         io, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n",
         std::string(1000, 'x'));
--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -308,7 +308,7 @@
 }
 
 void session::flood(const std::string& next,
-                    std::shared_ptr<std::string> bytes) {
+                    const std::shared_ptr<std::string>& bytes) {
     auto kept = std::make_shared<std::string>(next);
     asio::async_write(m_socket, asio::buffer(*kept),
                       [self = shared_from_this(), kept,
--- a/pollenreel/http/internal/session.hpp
+++ b/pollenreel/http/internal/session.hpp
@@ -67,7 +67,8 @@
     void on_caller_gone();
     void answer(slot& s, response r);
     void abort(std::string bytes);
-    void flood(const std::string& next, std::shared_ptr<std::string> bytes);
+    void flood(const std::string& next,
+               const std::shared_ptr<std::string>& bytes);
     void write_next();
     void on_written(boost::system::error_code e);
     void finish();
