--- a/pollenreel/entry/settings.cpp
+++ b/pollenreel/entry/settings.cpp
@@ -68,6 +68,12 @@
     row{"instance.log_level", "debug, info, warning, error", "info",
         "lowest level that is logged",
         [](settings& s, text v) { return store_level(s.log_level, v); }},
+    row{"instance.link_mbps", "0-1000000", "0",
+        "bandwidth of the machine's link in Mbit/s, 0 if unknown; the instance "
+        "with the widest link watches the store for its region",
+        [](settings& s, text v) {
+            return store_real(s.link_mbps, v, 0, 1'000'000);
+        }},
     row{"listen.callers", endpoint_allowed, std::nullopt,
         "where callers send requests",
         [](settings& s, text v) { return store_endpoint(s.callers, v); }},
--- a/pollenreel/entry/settings.hpp
+++ b/pollenreel/entry/settings.hpp
@@ -24,6 +24,7 @@
     base::failure_domain_id failure_domain;
     base::region_id region;
     log::level log_level = log::level::info;
+    double link_mbps = 0; // 0 if unknown
     // [listen]
     base::endpoint callers;
     base::endpoint readiness;
@@ -49,7 +50,7 @@
     }
     // As it is announced to the others.
     [[nodiscard]] fleet::instance self() const {
-        return {id, callers, failure_domain, region, relay};
+        return {id, callers, failure_domain, region, relay, link_mbps};
     }
     // [limits]
     dispatch::fleet_limits limits;
--- a/pollenreel/fleet/relay_choice.cpp
+++ b/pollenreel/fleet/relay_choice.cpp
@@ -2,7 +2,7 @@
 
 #include "pollenreel/fleet/rendezvous.hpp"
 
-#include <algorithm>
+#include <utility>
 
 namespace pollenreel::fleet {
 
@@ -23,8 +23,9 @@
     if (!self.relay_endpoint) {
         return {};
     }
-    const auto score = [&](const instance& i) {
-        return rendezvous_score(self.region.str(), i.id.str());
+    const auto rank = [&](const instance& i) {
+        return std::pair(i.link_mbps,
+                         rendezvous_score(self.region.str(), i.id.str()));
     };
     const instance* best = &self;
     std::size_t others = 0;
@@ -33,7 +34,7 @@
             continue;
         }
         ++others;
-        best = score(i) > score(*best) ? &i : best;
+        best = rank(i) > rank(*best) ? &i : best;
     }
     if (others == 0) {
         return {};
--- a/pollenreel/fleet/relay_choice.hpp
+++ b/pollenreel/fleet/relay_choice.hpp
@@ -1,6 +1,7 @@
 // Chooses the instance of a region that watches the platform's store for the
-// others. All instances with the same view choose the same one, without
-// exchanging messages.
+// others: among those with the widest link, the first in rendezvous order. All
+// instances with the same view choose the same one, without exchanging
+// messages.
 #pragma once
 
 #include "pollenreel/base/endpoint.hpp"
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -86,6 +87,36 @@
     CHECK(choose_relay({live[0], live[4]}, live[0]).role == relay_role::alone);
 }
 
+TEST_CASE("the instance with the widest link is the watcher") {
+    struct row {
+        const char* name;
+        std::vector<double> links; // Mbit/s, 0 if unknown
+        std::vector<std::size_t> candidates;
+    };
+    const row rows[] = {
+        {"one is wider", {10, 200, 10, 10}, {1}},
+        {"some are unknown", {0, 10, 0, 0}, {1}},
+        {"two are equally wide", {10, 200, 200, 10}, {1, 2}},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        std::vector<instance> live;
+        for (std::size_t i = 0; i < r.links.size(); ++i) {
+            live.push_back(make_instance("i-" + std::to_string(i), "a"));
+            live.back().link_mbps = r.links[i];
+        }
+        std::vector<std::size_t> watchers;
+        for (std::size_t i = 0; i < live.size(); ++i) {
+            if (choose_relay(live, live[i]).role == relay_role::watcher) {
+                watchers.push_back(i);
+            }
+        }
+        REQUIRE(watchers.size() == 1);
+        CHECK(std::count(r.candidates.begin(), r.candidates.end(),
+                         watchers.front()) == 1);
+    }
+}
+
 TEST_CASE("an instance without a usable relay watches the store itself") {
     struct row {
         const char* name;
--- a/pollenreel/fleet/relay_test_support.hpp
+++ b/pollenreel/fleet/relay_test_support.hpp
@@ -11,9 +11,9 @@
 inline const base::time_point start_time{std::chrono::hours(1)};
 constexpr std::chrono::milliseconds departure_bound{2500};
 
-inline store::key_change written(const std::string& key,
-                                 std::int64_t revision) {
-    return {key, {revision}, store::entry{key, "", {revision}, {}}};
+inline store::key_change written(const std::string& key, std::int64_t revision,
+                                 const std::string& value = "") {
+    return {key, {revision}, store::entry{key, value, {revision}, {}}};
 }
 inline store::key_change removed(const std::string& key,
                                  std::int64_t revision) {
@@ -29,17 +29,25 @@
     return i;
 }
 
-// Keys "t/ID" are targets, "i/ID" instances; "c" holds the configuration.
+// Keys "t/ID" are targets; "i/ID" are instances, their value is the bandwidth
+// of their link; "c" holds the configuration, its version is the revision.
 inline change decode(const store::key_change& c) {
     if (c.key == "c") {
         configuration_written w;
-        w.configuration.version = base::config_version(1);
+        w.configuration.version =
+            base::config_version(static_cast<std::uint64_t>(c.at.value));
         return w;
     }
     if (c.key.starts_with("i/")) {
         const auto name = c.key.substr(2);
-        return c.value ? change(instance_written{make_instance(name, "a")})
-                       : change(instance_removed{base::instance_id(name)});
+        if (!c.value) {
+            return instance_removed{base::instance_id(name)};
+        }
+        auto i = make_instance(name, "a");
+        if (!c.value->value.empty()) {
+            i.link_mbps = std::stod(c.value->value);
+        }
+        return instance_written{i};
     }
     const base::target_id id(c.key.substr(2));
     if (!c.value) {
--- a/pollenreel/fleet/view.hpp
+++ b/pollenreel/fleet/view.hpp
@@ -38,6 +38,8 @@
     base::region_id region;
     // Its listener for polls of other instances of the region.
     std::optional<base::endpoint> relay_endpoint;
+    // Of its network link, in Mbit/s; 0 if unknown.
+    double link_mbps = 0;
 
     friend bool operator==(const instance&, const instance&) = default;
 };
