--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -14,14 +14,16 @@
 // covers the call, network latency and one lost packet; a longer interval
 // causes fewer calls.
 constexpr int direct_watch_percent = 70;
-// Interval of a watch that serves other instances too, and how long these wait
-// for the relay beyond it: after both they must still have time to query the
-// store themselves.
+// Interval of a watch that serves other instances too.
 constexpr int relay_watch_percent = 45;
-constexpr int relay_timeout_percent = 30;
+// How old the state may grow before a follower leaves the first relay for the
+// second, and the second for the store itself, which takes the rest.
+constexpr int first_relay_percent = 60;
+constexpr int last_relay_percent = 75;
 // A poll that could wait for no longer than this is not worth sending.
 constexpr int min_poll_percent = 15;
-
+// Part of a poll's time-out that is left for the response to arrive.
+constexpr int relay_response_percent = 10;
 // Larger values are sent apart from the other changes, which they would delay.
 constexpr std::size_t max_inline_bytes = 8192;
 // Time in which a relay's link must be able to send the large values of one
@@ -97,12 +99,28 @@
     return m_options.departure_bound * percent / 100;
 }
 
+relay_choice follower::choose_relay_now(base::time_point now) {
+    std::erase_if(m_avoided_until,
+                  [&](const auto& one) { return now >= one.second; });
+    std::set<base::instance_id> avoided;
+    for (const auto& [id, until] : m_avoided_until) {
+        avoided.insert(id);
+    }
+    return choose_relay(m_state.instances(), m_options.self, avoided);
+}
+
 follower::actions follower::follow(base::time_point now) {
-    m_relay = choose_relay(m_state.instances(), m_options.self);
-    const bool use_relay = m_relay.role == relay_role::follower &&
-                           now >= m_relay_retry_at &&
-                           !m_state.is_restoring(now);
-    return use_relay ? poll_relay(now) : watch_store();
+    m_relay = choose_relay_now(now);
+    while (!m_relay.watcher.empty() && !m_state.is_restoring(now)) {
+        if (auto next = make_poll(now)) {
+            m_open_watch_interval.reset();
+            m_polling_relay = true;
+            return {std::move(*next)};
+        }
+        avoid_relay(now);
+        m_relay = choose_relay_now(now);
+    }
+    return watch_store();
 }
 
 follower::actions follower::watch_store() {
@@ -122,30 +140,31 @@
 }
 
 milliseconds follower::max_contact_age() const {
-    return m_options.departure_bound *
-           (relay_watch_percent + relay_timeout_percent) / 100;
+    const bool is_last = m_avoided_until.size() + 1 >= watchers_per_region;
+    const int percent = is_last ? last_relay_percent : first_relay_percent;
+    return m_options.departure_bound * percent / 100;
 }
 
-follower::actions follower::poll_relay(base::time_point now) {
+std::optional<follower::poll> follower::make_poll(base::time_point now) const {
     // The state is already as old as the last contact, so only the rest of its
     // maximum age is left to wait.
     const auto age = std::chrono::duration_cast<milliseconds>(
         now - m_state.last_contact_at());
     const auto timeout = max_contact_age() - age;
-    if (timeout < m_options.departure_bound * min_poll_percent / 100) {
-        return leave_relay(now);
+    const auto percent = [&](int p) {
+        return m_options.departure_bound * p / 100;
+    };
+    if (timeout < percent(min_poll_percent)) {
+        return std::nullopt;
     }
-    m_open_watch_interval.reset();
-    m_polling_relay = true;
-    // The relay's response needs time to arrive.
-    const auto max_wait =
-        timeout - m_options.departure_bound * min_poll_percent / 100;
-    return {poll{m_relay.endpoint, {m_seen_revision, max_wait, true}, timeout}};
+    return poll{
+        m_relay.endpoint,
+        {m_seen_revision, timeout - percent(relay_response_percent), true},
+        timeout};
 }
 
-follower::actions follower::leave_relay(base::time_point now) {
-    m_relay_retry_at = now + m_options.relay_retry_delay;
-    return watch_store();
+void follower::avoid_relay(base::time_point now) {
+    m_avoided_until[m_relay.watcher] = now + m_options.relay_retry_delay;
 }
 
 follower::actions follower::on_list_reply(const store::reply& r,
@@ -277,8 +296,8 @@
     }
     if (!a || a->status != relay_status::current ||
         a->age > max_contact_age()) {
-        // The store itself may still be reachable from this instance.
-        return leave_relay(now);
+        avoid_relay(now);
+        return follow(now);
     }
     m_state.on_contact(now - a->age);
     apply(a->changes, now);
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -38,8 +38,8 @@
     // A target's departure must be known within this time, even if messages
     // are lost.
     std::chrono::milliseconds departure_bound{};
-    // After a relay failed, the store is watched directly for this long. Longer
-    // than a crashed instance stays announced.
+    // A relay that failed is not polled again for this long. Longer than a
+    // crashed instance stays announced.
     std::chrono::milliseconds relay_retry_delay{4500};
 };
 
@@ -131,12 +131,14 @@
     void journal_removed_keys(const store::found_all& listed);
     // Watches the store from the revision after the last known one.
     actions watch_store();
-    actions poll_relay(base::time_point now);
-    // Watches the store instead of polling the relay, for a while.
-    actions leave_relay(base::time_point now);
-    // The state may be no older than this; then the store is asked directly.
+    // The poll of the chosen relay, unless too little time is left for it.
+    [[nodiscard]] std::optional<poll> make_poll(base::time_point now) const;
+    // Does not poll the chosen relay for a while.
+    void avoid_relay(base::time_point now);
+    [[nodiscard]] relay_choice choose_relay_now(base::time_point now);
+    // How old the state may grow before the chosen relay is given up.
     [[nodiscard]] std::chrono::milliseconds max_contact_age() const;
-    // Polls the relay if there is one to use, else watches the store.
+    // Polls a relay if there is one to use, else watches the store.
     actions follow(base::time_point now);
     [[nodiscard]] std::chrono::milliseconds watch_interval() const;
 
@@ -154,7 +156,7 @@
     // Set while a watch is open.
     std::optional<std::chrono::milliseconds> m_open_watch_interval;
     bool m_polling_relay = false;
-    base::time_point m_relay_retry_at{};
+    std::map<base::instance_id, base::time_point> m_avoided_until;
     // Keys that were relayed as references, with their revisions, until they
     // have been read.
     std::map<std::string, store::revision> m_unread;
--- a/pollenreel/fleet/relay_choice.cpp
+++ b/pollenreel/fleet/relay_choice.cpp
@@ -2,6 +2,8 @@
 
 #include "pollenreel/fleet/rendezvous.hpp"
 
+#include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace pollenreel::fleet {
@@ -19,30 +21,39 @@
 }
 
 relay_choice choose_relay(const std::vector<instance>& live,
-                          const instance& self) {
+                          const instance& self,
+                          const std::set<base::instance_id>& avoided) {
     if (!self.relay_endpoint) {
         return {};
     }
-    const auto rank = [&](const instance& i) {
-        return std::pair(i.link_mbps,
-                         rendezvous_score(self.region.str(), i.id.str()));
-    };
-    const instance* best = &self;
-    std::size_t others = 0;
+    std::vector<const instance*> candidates{&self};
     for (const auto& i : live) {
-        if (i.region != self.region || !i.relay_endpoint || i.id == self.id) {
-            continue;
+        if (i.region == self.region && i.relay_endpoint && i.id != self.id) {
+            candidates.push_back(&i);
         }
-        ++others;
-        best = rank(i) > rank(*best) ? &i : best;
     }
-    if (others == 0) {
+    if (candidates.size() == 1) {
         return {};
     }
-    if (best == &self) {
+    const auto rank = [&](const instance* i) {
+        return std::pair(i->link_mbps,
+                         rendezvous_score(self.region.str(), i->id.str()));
+    };
+    const auto count = std::min(candidates.size(), watchers_per_region);
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(
+        candidates.begin(), end, candidates.end(),
+        [&](const auto* a, const auto* b) { return rank(a) > rank(b); });
+    if (std::find(candidates.begin(), end, &self) != end) {
         return {relay_role::watcher, {}, {}};
     }
-    return {relay_role::follower, best->id, *best->relay_endpoint};
+    const auto chosen = std::find_if(candidates.begin(), end, [&](auto* i) {
+        return !avoided.contains(i->id);
+    });
+    if (chosen == end) {
+        return {relay_role::follower, {}, {}};
+    }
+    return {relay_role::follower, (*chosen)->id, *(*chosen)->relay_endpoint};
 }
 
 } // namespace pollenreel::fleet
--- a/pollenreel/fleet/relay_test_support.hpp
+++ b/pollenreel/fleet/relay_test_support.hpp
@@ -4,6 +4,7 @@
 #include "pollenreel/fleet/follower.hpp"
 
 #include <chrono>
+#include <cstdlib>
 #include <string>
 
 namespace pollenreel::fleet::testing {
@@ -25,7 +26,11 @@
     instance i;
     i.id = base::instance_id(id);
     i.region = base::region_id(region);
-    i.relay_endpoint = base::endpoint{"127.0.0.1", 1};
+    // Names end in a number, which becomes the port.
+    const auto dash = id.rfind('-');
+    const auto number = std::strtoul(id.c_str() + dash + 1, nullptr, 10);
+    i.relay_endpoint =
+        base::endpoint{"127.0.0.1", static_cast<std::uint16_t>(1000 + number)};
     return i;
 }
 
