Keep one unreadable entry of a configuration from taking a fleet down

Cause: the decoder took a configuration whole or not at all. An older watcher did not relay such a configuration either, so newer instances behind it would not get it. Watchers relay what they cannot decode.

--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -5,6 +5,7 @@
 #include "pollenreel/dispatch/internal/default_retry_after.hpp"
 #include "pollenreel/dispatch/limit_share.hpp"
 #include "pollenreel/fleet/rendezvous.hpp"
+#include "pollenreel/routes/traffic_split.hpp"
 
 #include <xxhash.h>
 
@@ -27,6 +28,20 @@
 // this fraction of the cost on the assigned side.
 constexpr double max_reassign_cost_ratio = 0.8;
 
+// Operators need at least seconds to replace a configuration.
+constexpr milliseconds unreadable_retry_after{1000};
+
+std::optional<milliseconds> retry_after_routing(reason r) {
+    switch (r) {
+    case reason::unknown_route:
+        return std::nullopt;
+    case reason::unreadable_route:
+        return unreadable_retry_after;
+    default:
+        return default_retry_after;
+    }
+}
+
 constexpr refusal not_run(reason r) {
     return {outcome::not_run, r};
 }
@@ -105,7 +120,11 @@
     }
     found = m_view->routes->find(a.host, a.path);
     if (found == nullptr) {
-        return reason::unknown_route;
+        return m_view->routes->source().is_complete ? reason::unknown_route
+                                                    : reason::unreadable_route;
+    }
+    if (found->withheld) {
+        return reason::unreadable_route;
     }
     return std::nullopt;
 }
@@ -115,22 +134,20 @@
     const routes::route* route = nullptr;
     if (const auto refusal_reason = find_route(e, now, route)) {
         ++m_counters.refused_not_run;
-        const bool is_retryable = *refusal_reason != reason::unknown_route;
-        out.emplace_back(refuse{
-            e.id,
-            not_run(*refusal_reason),
-            is_retryable ? std::optional(default_retry_after) : std::nullopt,
-            {},
-            {},
-            0,
-            {}});
+        out.emplace_back(refuse{e.id,
+                                not_run(*refusal_reason),
+                                retry_after_routing(*refusal_reason),
+                                {},
+                                {},
+                                0,
+                                {}});
         return;
     }
     auto& pending = m_pending[e.id];
     pending.id = e.id;
     pending.table = m_view->routes;
     pending.route = route;
-    pending.service = pick_service(*route);
+    pending.service = routes::select_service(*route, m_random.unit());
     pending.object = route->sticky && !e.object.empty()
                          ? e.object
                          : std::to_string(m_random.below(UINT64_MAX));
@@ -147,21 +164,6 @@
     start_first_attempt(pending, now, out);
 }
 
-base::service_id core::pick_service(const routes::route& r) {
-    double total_weight = 0;
-    for (const auto& part : r.services) {
-        total_weight += part.weight;
-    }
-    double draw = m_random.unit() * total_weight;
-    for (const auto& part : r.services) {
-        draw -= part.weight;
-        if (draw < 0) {
-            return part.service;
-        }
-    }
-    return r.services.back().service;
-}
-
 latency_profile& core::profile_for(const pending_request& pending) {
     return m_profiles
         .try_emplace({pending.service, pending.route->idempotent,
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -229,7 +229,6 @@
     [[nodiscard]] std::optional<request::reason>
     find_route(const arrival& a, base::time_point now,
                const routes::route*& found) const;
-    [[nodiscard]] base::service_id pick_service(const routes::route& r);
     latency_profile& profile_for(const pending_request& pending);
     retry_budget& budget_for(const base::service_id& service);
     [[nodiscard]] std::vector<candidate>
--- a/pollenreel/dispatch/core_test.cpp
+++ b/pollenreel/dispatch/core_test.cpp
@@ -27,6 +27,8 @@
          reason::no_configuration, true},
         {"a path without a route", true, "/other/1", 1, reason::unknown_route,
          false},
+        {"a route that could not be read", true, "/withheld/1", 1,
+         reason::unreadable_route, true},
         {"no target", true, "/orders/1", 0, reason::no_target, true},
     };
     for (const auto& r : rows) {
--- a/pollenreel/dispatch/core_test_support.hpp
+++ b/pollenreel/dispatch/core_test_support.hpp
@@ -49,6 +49,9 @@
         r.services = {{base::service_id("s"), 1}};
         r.sticky = true;
         c.routes.push_back(r);
+        r.path_prefix = "/withheld/";
+        r.withheld = true;
+        c.routes.push_back(r);
         c.services.push_back({base::service_id("s"), 100, 3s, 7.6});
         auto v = std::make_shared<fleet::view>();
         v->routes = std::make_shared<routes::route_table>(std::move(c));
--- a/pollenreel/entry/change_log.cpp
+++ b/pollenreel/entry/change_log.cpp
@@ -22,6 +22,22 @@
     return "deferred";
 }
 
+void log_problems(const log::logger& log, const routes::configuration& c) {
+    for (const auto& p : c.problems) {
+        log.warning("configuration_problem", {{"version", c.version.value()},
+                                              {"entry", p.entry},
+                                              {"field", p.field},
+                                              {"value", p.value},
+                                              {"allowed", p.allowed},
+                                              {"consequence", p.consequence}});
+    }
+    if (c.problem_count > c.problems.size()) {
+        log.warning("configuration_problems_omitted",
+                    {{"version", c.version.value()},
+                     {"count", c.problem_count - c.problems.size()}});
+    }
+}
+
 } // namespace
 
 void log_change(const log::logger& log, const fleet::change& c, fleet::effect e,
@@ -66,6 +82,9 @@
                                  {"previous_contact_age_ms",
                                   origin.previous_contact_age.count()},
                                  {"effect", what}});
+                       if (e == fleet::effect::changed) {
+                           log_problems(log, w.configuration);
+                       }
                    },
                    [&](const fleet::evacuation_begun& d) {
                        log.info("evacuation_begun",
--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -241,6 +241,10 @@
         if (std::holds_alternative<fleet::unreadable>(c)) {
             ++m_counts.unreadable_entries;
         }
+        if (const auto* w = std::get_if<fleet::configuration_written>(&c);
+            w != nullptr && e == fleet::effect::changed) {
+            m_counts.configuration_problems += w->configuration.problem_count;
+        }
         log_change(
             m_log, c, e,
             {m_follower.source(), std::chrono::duration_cast<milliseconds>(
--- a/pollenreel/entry/traffic.hpp
+++ b/pollenreel/entry/traffic.hpp
@@ -20,6 +20,8 @@
     std::atomic<std::uint64_t> store_failures{0};
     std::atomic<std::uint64_t> store_watch_returns{0};
     std::atomic<std::uint64_t> unreadable_entries{0};
+    // Entries and fields of configurations that could not be read.
+    std::atomic<std::uint64_t> configuration_problems{0};
     std::atomic<std::uint64_t> relay_asks{0};     // of this instance
     std::atomic<std::uint64_t> relay_failures{0}; // of them, of no use
     std::atomic<std::uint64_t> relay_answers{0};  // to others
--- a/pollenreel/entry/traffic_metrics.cpp
+++ b/pollenreel/entry/traffic_metrics.cpp
@@ -78,6 +78,9 @@
     page.counter("pollenreel_unreadable_entries_total",
                  "Entries of the store that could not be used.",
                  c.unreadable_entries);
+    page.counter("pollenreel_configuration_problems_total",
+                 "Entries and fields of configurations that could not be read.",
+                 c.configuration_problems);
     page.counter("pollenreel_relay_asks_total",
                  "Times another instance was asked for changes of the store.",
                  c.relay_asks);
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -49,6 +49,10 @@
     if (e == effect::changed || e == effect::deferred) {
         return true;
     }
+    // Polling instances may run a version of the program that can decode it.
+    if (std::holds_alternative<unreadable>(c)) {
+        return true;
+    }
     // Each report of a cold target updates how long it stays cold.
     const auto* t = std::get_if<target_written>(&c);
     return t != nullptr && t->report.cold_for > milliseconds::zero();
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -288,6 +288,30 @@
           std::vector<std::int64_t>{50});
 }
 
+// While a fleet is upgraded, its watchers may be older than the instances that
+// poll them.
+TEST_CASE("a watcher relays entries that it cannot decode itself") {
+    fleet_state known({}, {});
+    const auto decode_old = [](const store::key_change& c) -> change {
+        if (c.value && c.value->value == "new kind") {
+            return unreadable{c.key, "unknown kind", {}};
+        }
+        return decode(c);
+    };
+    follower f({"", make_instance("i-1", "a"), departure_bound}, decode_old,
+               known, [](const change&, effect) {});
+    CHECK(f.start(start_time).size() == 1);
+    CHECK(f.on_list_reply(store::found_all{{{"c", "", {30}, {}}}, {31}},
+                          start_time)
+              .size() == 1);
+    CHECK(f.on_watch_report(
+               store::watch_changed{{written("c", 40, "new kind")}}, start_time)
+              .empty());
+    const auto response = f.make_relay_response({{31}, 0ms}, true, start_time);
+    CHECK(revisions(response.changes) == std::vector<std::int64_t>{40});
+    CHECK(known.build_view()->routes->source().version.value() == 30);
+}
+
 TEST_CASE("a referenced value is read until it is at least as new") {
     struct row {
         const char* name;
--- a/pollenreel/request/types.cpp
+++ b/pollenreel/request/types.cpp
@@ -12,6 +12,8 @@
         return "unknown-service";
     case reason::unknown_route:
         return "unknown-route";
+    case reason::unreadable_route:
+        return "unreadable-route";
     case reason::no_configuration:
         return "no-configuration";
     case reason::unknown_kind:
--- a/pollenreel/request/types.hpp
+++ b/pollenreel/request/types.hpp
@@ -27,6 +27,7 @@
 enum class reason {
     unknown_service,
     unknown_route,
+    unreadable_route, // its entry of the configuration could not be read
     no_configuration, // none has been received yet
     unknown_kind,
     bad_deadline,
--- a/pollenreel/routes/configuration.hpp
+++ b/pollenreel/routes/configuration.hpp
@@ -5,6 +5,7 @@
 #include "pollenreel/base/ids.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -30,6 +31,8 @@
     std::vector<weighted_service> services;     // at least one
     bool sticky = false; // targets cache recently requested objects
     std::vector<base::region_id> home_regions; // empty for any region
+    // Where its requests may run is unknown; they are refused as not run.
+    bool withheld = false;
 };
 
 struct service {
@@ -46,11 +49,25 @@
     std::chrono::milliseconds idle_timeout{15'000};
 };
 
+// An entry, or a field of one, that could not be read.
+struct configuration_problem {
+    std::string entry;       // "host a.example, route r-1"
+    std::string field;       // as the operator calls it
+    std::string value;       // as written, shortened; empty if missing
+    std::string allowed;     // values
+    std::string consequence; // what holds in its place
+};
+
 struct configuration {
     base::config_version version;
     std::vector<route> routes;
     std::vector<service> services;
     caller_limits limits;
+    // False if a route may be missing, so that a request without one may be
+    // meant for it.
+    bool is_complete = true;
+    std::vector<configuration_problem> problems; // the first few
+    std::size_t problem_count = 0;               // of all
 };
 
 } // namespace pollenreel::routes
