Read long bodies by their progress, refuse early, and bound their memory

Cause: a request's body was read under one time-out of 30 s however it progressed; it was read whole before a request without a route was refused; its memory had no common bound (64 MB a body, instances of 160 MB) and three copies of it were held; the time that it took was not taken off the caller's deadline, so targets were handed more time than was left; an answer that a target sent before it had read a long body was only read after the body, which a target that does not read on never takes. Bodies are still read whole before they are sent on: not streamed.

--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -129,20 +129,26 @@
     return std::nullopt;
 }
 
-void core::on(const arrival& e, base::time_point now, effects& out) {
+refuse core::refuse_unrouted(const arrival& a, reason why) {
     ++m_counters.requests;
+    ++m_counters.refused_not_run;
+    return {a.id, not_run(why), retry_after_routing(why), {}, {}, 0, {}};
+}
+
+std::optional<refuse> core::refuse_before_body(const arrival& a,
+                                               base::time_point now) {
+    const routes::route* route = nullptr;
+    const auto why = find_route(a, now, route);
+    return why ? std::optional(refuse_unrouted(a, *why)) : std::nullopt;
+}
+
+void core::on(const arrival& e, base::time_point now, effects& out) {
     const routes::route* route = nullptr;
-    if (const auto refusal_reason = find_route(e, now, route)) {
-        ++m_counters.refused_not_run;
-        out.emplace_back(refuse{e.id,
-                                not_run(*refusal_reason),
-                                retry_after_routing(*refusal_reason),
-                                {},
-                                {},
-                                0,
-                                {}});
+    if (const auto why = find_route(e, now, route)) {
+        out.emplace_back(refuse_unrouted(e, *why));
         return;
     }
+    ++m_counters.requests;
     auto& pending = m_pending[e.id];
     pending.id = e.id;
     pending.table = m_view->routes;
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -162,6 +162,10 @@
     explicit core(options o);
 
     [[nodiscard]] effects handle(const event& e, base::time_point now);
+    // The refusal of a request whose body has not been read yet, and which must
+    // not arrive then; nullopt if it may arrive.
+    [[nodiscard]] std::optional<refuse>
+    refuse_before_body(const arrival& a, base::time_point now);
     // Time at which the core next needs a `tick`; nullopt if no timer is set.
     [[nodiscard]] std::optional<base::time_point> next_wakeup() const;
     [[nodiscard]] std::size_t requests_in_flight() const {
@@ -226,6 +230,8 @@
 
     // Sets `found` to the route of the request, or returns the reason to refuse
     // it.
+    // Counts and describes a request that ends for want of a route.
+    refuse refuse_unrouted(const arrival& a, request::reason why);
     [[nodiscard]] std::optional<request::reason>
     find_route(const arrival& a, base::time_point now,
                const routes::route*& found) const;
--- a/pollenreel/egress/target_pool.cpp
+++ b/pollenreel/egress/target_pool.cpp
@@ -68,7 +68,7 @@
                         });
 }
 
-void target_pool::send(base::attempt_id attempt, const http::request& r,
+void target_pool::send(base::attempt_id attempt, http::request r,
                        const std::string& request_id, milliseconds limit) {
     const auto found = m_exchanges.find(attempt);
     if (found == m_exchanges.end()) {
@@ -84,7 +84,7 @@
     }
     m_connections.at(found->second.connection)
         ->exchange(
-            r, m_options.response_limits, limit,
+            std::move(r), m_options.response_limits, limit,
             [this, attempt, request_id](base::result<http::response> response) {
                 on_response(attempt, request_id, std::move(response));
             },
--- a/pollenreel/egress/target_pool.hpp
+++ b/pollenreel/egress/target_pool.hpp
@@ -55,7 +55,7 @@
     // attempt_connected or attempt_connect_failed.
     void open(const request::open_attempt& o);
     // Writes the request. Reports attempt_answered or attempt_lost.
-    void send(base::attempt_id attempt, const http::request& r,
+    void send(base::attempt_id attempt, http::request r,
               const std::string& request_id, std::chrono::milliseconds limit);
     // Closes the attempt's connection. No further events are reported for it.
     void abandon(base::attempt_id attempt);
--- a/pollenreel/entry/settings.cpp
+++ b/pollenreel/entry/settings.cpp
@@ -74,6 +74,13 @@
         [](settings& s, text v) {
             return store_real(s.link_mbps, v, 0, 1'000'000);
         }},
+    row{"instance.memory_mb", "16-1048576", "256",
+        "memory that this process may use, in MB; a quarter of it holds the "
+        "bodies of requests",
+        [](settings& s, text v) {
+            return store_number(s.memory_mb, v, std::uint64_t{16},
+                                std::uint64_t{1'048'576});
+        }},
     row{"listen.callers", endpoint_allowed, std::nullopt,
         "where callers send requests",
         [](settings& s, text v) { return store_endpoint(s.callers, v); }},
--- a/pollenreel/entry/settings.hpp
+++ b/pollenreel/entry/settings.hpp
@@ -25,6 +25,7 @@
     base::region_id region;
     log::level log_level = log::level::info;
     double link_mbps = 0; // 0 if unknown
+    std::uint64_t memory_mb = 256;
     // [listen]
     base::endpoint callers;
     base::endpoint readiness;
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -34,6 +34,8 @@
 // Connections of the platform's checks and of look-ups.
 constexpr std::size_t max_other_connections = 500;
 constexpr std::size_t most_directory_addresses = 64;
+constexpr std::size_t megabyte = std::size_t{1024} * 1024;
+constexpr std::size_t memory_per_body_budget = 4;
 constexpr std::uint32_t answer_header_bytes = 64 * 1024;
 constexpr std::uint64_t answer_body_bytes = 64ULL * 1024 * 1024;
 constexpr http::limits small_messages{8 * 1024, 8ULL * 1024};
@@ -47,13 +49,19 @@
     return o;
 }
 
-http::server_options callers_listener(const settings& s) {
+http::server_options callers_listener(const settings& s,
+                                      http::header_filter filter) {
     const routes::caller_limits defaults;
     auto o = listener(s.callers, s.max_callers,
                       {defaults.header_bytes, defaults.body_bytes});
     o.header_timeout = defaults.header_timeout;
     o.idle_timeout = defaults.idle_timeout;
     o.max_pipelined = max_pipelined;
+    o.header_filter = std::move(filter);
+    // A body is held twice while it is sent to a target; the other half of the
+    // memory is for everything else.
+    o.budget = std::make_shared<http::receive_budget>(s.memory_mb * megabyte /
+                                                      memory_per_body_budget);
     return o;
 }
 
@@ -84,7 +92,11 @@
           m_requests(log), m_control(counts), m_core(core_options(s)),
           m_wakeup(m_io, [this] { handle(dispatch::tick{}); }),
           m_housekeeping(m_io),
-          m_callers(m_io, callers_listener(s),
+          m_callers(m_io,
+                    callers_listener(s,
+                                     [this](const http::request& r) {
+                                         return refuse_before_body(r);
+                                     }),
                     [this](http::request r, http::responder answer) {
                         on_request(std::move(r), std::move(answer));
                     }),
@@ -199,6 +211,20 @@
         handle(carried.arrival);
     }
 
+    std::optional<http::response> refuse_before_body(const http::request& r) {
+        m_last_id = m_last_id.next();
+        const auto carried = m_protocol.read_request(r, m_last_id);
+        const auto now = m_clock.now();
+        const auto refused = m_core.refuse_before_body(carried.arrival, now);
+        if (!refused) {
+            return std::nullopt;
+        }
+        m_requests.refused({m_last_id, carried.caller_id}, *refused,
+                           m_view.get(), now);
+        m_metrics.refused(*refused, base::duration::zero());
+        return m_protocol.refusal(*refused);
+    }
+
     http::response readiness(const http::request& r) const {
         if (std::holds_alternative<bad_request>(m_protocol.read_readiness(r))) {
             return {404, {}, ""};
--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -104,9 +104,8 @@
             });
     }
 
-    void exchange(const request& r, const limits& l,
-                  std::chrono::milliseconds timeout, answered done,
-                  answer_terms terms) {
+    void exchange(request r, const limits& l, std::chrono::milliseconds timeout,
+                  answered done, answer_terms terms) {
         m_answered = std::move(done);
         m_terms = std::move(terms);
         m_limits = l;
@@ -124,14 +123,17 @@
         for (const auto& h : r.headers) {
             m_request->insert(h.name, h.value);
         }
-        m_request->body() = r.body;
+        m_request->body() = std::move(r.body);
         m_request->prepare_payload();
         m_stream.expires_after(timeout);
+        m_writing = true;
         bhttp::async_write(
             m_stream, *m_request,
             [self = shared_from_this()](beast::error_code e, std::size_t) {
                 self->on_written(e);
             });
+        // A server may answer before it has read a long body.
+        read_answer();
     }
 
     [[nodiscard]] bool reusable() {
@@ -181,15 +183,9 @@
         done(boost::outcome_v2::success());
     }
 
-    void on_written(beast::error_code e) {
-        if (m_closed) {
-            return;
-        }
-        if (e) {
-            return finish(read_failure(e));
-        }
-        read_answer();
-    }
+    // After an error the answer may still be there to be read; if not, reading
+    // fails too.
+    void on_written(beast::error_code e) { m_writing = e.failed(); }
 
     void read_answer() {
         m_parser.emplace();
@@ -266,7 +262,7 @@
             return read_answer();
         }
         m_reusable = keep_alive && !close_delimited && m_strays == 0 &&
-                     m_buffer.size() == 0;
+                     m_buffer.size() == 0 && !m_writing;
         m_stream.expires_never();
         finish(std::move(got));
     }
@@ -289,6 +285,7 @@
     limits m_limits;
     std::size_t m_received = 0; // of the body, as accounted for
     int m_strays = 0;           // answers to other requests, in this exchange
+    bool m_writing = false;     // the request, or writing it failed
     bool m_reusable = false;
     bool m_closed = false;
 };
@@ -306,10 +303,11 @@
     m_state->connect(to, timeout, std::move(done));
 }
 
-void client_connection::exchange(const request& r, const limits& l,
+void client_connection::exchange(request r, const limits& l,
                                  std::chrono::milliseconds timeout,
                                  answered done, answer_terms terms) {
-    m_state->exchange(r, l, timeout, std::move(done), std::move(terms));
+    m_state->exchange(std::move(r), l, timeout, std::move(done),
+                      std::move(terms));
 }
 
 bool client_connection::reusable() const {
--- a/pollenreel/http/client_connection.hpp
+++ b/pollenreel/http/client_connection.hpp
@@ -44,9 +44,10 @@
                  connected done);
     // Fails with timed_out, connection_lost, incomplete_message,
     // malformed_message, too_large; the request may then have been received.
-    void exchange(const request& r, const limits& l,
-                  std::chrono::milliseconds timeout, answered done,
-                  answer_terms terms = {});
+    // An answer that comes before the request is sent whole ends the exchange;
+    // the rest is not sent and the connection not reusable.
+    void exchange(request r, const limits& l, std::chrono::milliseconds timeout,
+                  answered done, answer_terms terms = {});
     // Whether another exchange may start: the last answer was whole, nothing
     // came after it, and the server has neither closed nor sent anything since.
     [[nodiscard]] bool reusable() const;
--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -19,8 +19,10 @@
 // cut off.
 constexpr std::chrono::milliseconds linger{1000};
 constexpr std::size_t read_at_once = 4096; // bytes
+constexpr unsigned unavailable = 503;
 
-request to_request(bhttp::request<bhttp::string_body>&& from,
+// Without the body.
+request to_request(const bhttp::request<bhttp::string_body>& from,
                    const tcp::endpoint& caller) {
     request r;
     r.method = std::string(from.method_string());
@@ -29,7 +31,6 @@
         r.headers.push_back(
             {std::string(field.name_string()), std::string(field.value())});
     }
-    r.body = std::move(from.body());
     if (caller.address().is_v4()) {
         r.caller_address = caller.address().to_v4().to_uint();
     }
@@ -58,8 +59,19 @@
 
 class session::slot : public responder::waiting {
 public:
-    slot(std::shared_ptr<session> to, bool head_only, bool stays_open)
-        : head(head_only), keep_alive(stays_open), m_session(std::move(to)) {}
+    // `body_bytes`: returned to the budget with the slot's end.
+    slot(std::shared_ptr<session> to, bool head_only, bool stays_open,
+         std::size_t body_bytes = 0)
+        : head(head_only), keep_alive(stays_open), m_session(std::move(to)),
+          m_budget(m_session->m_owner.options.budget),
+          m_body_bytes(body_bytes) {}
+    slot(const slot&) = delete;
+    slot& operator=(const slot&) = delete;
+    ~slot() override {
+        if (m_budget) {
+            m_budget->release(m_body_bytes);
+        }
+    }
 
     void answer(response r) override { m_session->answer(*this, std::move(r)); }
     void abort(std::string bytes) override {
@@ -83,10 +95,12 @@
 
 private:
     std::shared_ptr<session> m_session; // kept while an answer is owed
+    std::shared_ptr<receive_budget> m_budget;
+    std::size_t m_body_bytes;
 };
 
 session::session(tcp::socket socket, owner o)
-    : m_socket(std::move(socket)), m_owner(o) {
+    : m_socket(std::move(socket)), m_owner(o), m_budget(o.options.budget) {
     beast::error_code ignored;
     m_caller = m_socket.remote_endpoint(ignored);
     m_socket.set_option(tcp::no_delay(true), ignored);
@@ -96,6 +110,9 @@
 }
 
 session::~session() {
+    if (m_budget) {
+        m_budget->release(m_received);
+    }
     if (!m_orphaned) {
         m_owner.sessions.erase(this);
     }
@@ -192,15 +209,47 @@
     if (e) {
         return on_read_end(e);
     }
+    m_header_read_at = steady::now();
     if (m_parser->is_done()) {
         return hand_over();
     }
-    read_body();
+    if (auto refusal = refuse_body()) {
+        return refuse(std::move(*refusal));
+    }
+    if (!m_closed) {
+        read_body();
+    }
+}
+
+std::optional<response> session::refuse_body() {
+    const auto length = m_parser->content_length();
+    if (m_budget && length && !m_budget->has_room(*length)) {
+        return no_room();
+    }
+    const auto& filter = m_owner.options.header_filter;
+    return filter ? filter(to_request(m_parser->get(), m_caller))
+                  : std::nullopt;
+}
+
+response session::no_room() const {
+    auto headers = m_owner.options.refusal_headers;
+    headers.push_back({"Retry-After", "1"});
+    return {unavailable, std::move(headers), "no memory for the body\n"};
+}
+
+bool session::grow() {
+    if (!m_budget) {
+        return true;
+    }
+    const auto size = m_parser->get().body().size();
+    const auto bytes = size - m_received;
+    m_received = size;
+    return m_budget->try_grow(bytes, size);
 }
 
 void session::read_body() {
     expect(phase::body);
-    bhttp::async_read(
+    bhttp::async_read_some(
         m_socket, m_buffer, *m_parser,
         [self = shared_from_this()](beast::error_code e, std::size_t) {
             self->on_body(e);
@@ -214,6 +263,12 @@
     if (e) {
         return on_read_end(e);
     }
+    if (!grow()) {
+        return refuse(no_room());
+    }
+    if (!m_parser->is_done()) {
+        return read_body();
+    }
     hand_over();
 }
 
@@ -222,13 +277,17 @@
     auto message = m_parser->release();
     m_parser.reset();
     m_keep_alive = message.keep_alive();
-    auto owed = std::make_shared<slot>(shared_from_this(),
-                                       message.method() == bhttp::verb::head,
-                                       m_keep_alive);
+    auto owed = std::make_shared<slot>(
+        shared_from_this(), message.method() == bhttp::verb::head, m_keep_alive,
+        std::exchange(m_received, 0));
     m_owed.push_back(owed);
     expect(phase::busy);
     const auto self = shared_from_this();
-    m_owner.handle(to_request(std::move(message), m_caller),
+    auto r = to_request(message, m_caller);
+    r.body = std::move(message.body());
+    r.body_time = std::chrono::duration_cast<std::chrono::milliseconds>(
+        steady::now() - m_header_read_at);
+    m_owner.handle(std::move(r),
                    responder(std::weak_ptr<responder::waiting>(owed)));
     if (m_closed || m_finishing || m_reading || !m_keep_alive) {
         return m_closed || m_reading ? void() : watch_for_close();
@@ -246,15 +305,20 @@
     refuse(e);
 }
 
-// Answers a malformed or oversized request, after those before it.
+// Answers a malformed or oversized request.
 void session::refuse(beast::error_code e) {
     ++m_owner.counters.malformed;
+    refuse({status_of(e), m_owner.options.refusal_headers, e.message() + "\n"});
+}
+
+// Answers a request that is not read to its end, after those before it.
+void session::refuse(response r) {
+    m_reading = false;
     m_keep_alive = false;
     m_refused = true;
     expect(phase::busy);
     m_owed.push_back(std::make_shared<slot>(shared_from_this(), false, false));
-    answer(*m_owed.back(),
-           {status_of(e), m_owner.options.refusal_headers, e.message() + "\n"});
+    answer(*m_owed.back(), std::move(r));
 }
 
 void session::watch_for_close() {
--- a/pollenreel/http/internal/session.hpp
+++ b/pollenreel/http/internal/session.hpp
@@ -59,6 +59,11 @@
     void on_header(boost::system::error_code e);
     void read_body();
     void on_body(boost::system::error_code e);
+    // Accounts for the body received so far; false if there is no room for it.
+    [[nodiscard]] bool grow();
+    [[nodiscard]] std::optional<response> refuse_body();
+    void refuse(response r);
+    [[nodiscard]] response no_room() const;
     void hand_over();
     void refuse(boost::system::error_code e);
     void on_read_end(boost::system::error_code e);
@@ -77,6 +82,7 @@
 
     boost::asio::ip::tcp::socket m_socket;
     owner m_owner;
+    std::shared_ptr<receive_budget> m_budget; // outlives the owner
     boost::beast::flat_buffer m_buffer;
     std::optional<
         boost::beast::http::request_parser<boost::beast::http::string_body>>
@@ -86,6 +92,8 @@
     std::deque<std::shared_ptr<slot>> m_owed; // in the order of the requests
     std::optional<base::time_point> m_overdue_at;
     std::optional<base::time_point> m_idle_since;
+    base::time_point m_header_read_at{};
+    std::size_t m_received = 0; // of the body, as accounted for
     boost::asio::ip::tcp::endpoint m_caller;
     bool m_reading = false;
     bool m_keep_alive = true; // as the last request read asked
--- a/pollenreel/http/message.cpp
+++ b/pollenreel/http/message.cpp
@@ -12,11 +12,13 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 9> connection_headers = {
+constexpr std::array<std::string_view, 10> connection_headers = {
     "Connection",
     "Content-Length",
     "Transfer-Encoding",
     "Keep-Alive",
+    // Answered by whoever receives the body.
+    "Expect",
     "Upgrade",
     "TE",
     "Trailer",
--- a/pollenreel/http/message.hpp
+++ b/pollenreel/http/message.hpp
@@ -2,6 +2,7 @@
 // Boost.Beast.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -33,6 +34,8 @@
     // Servers fill these in.
     std::uint32_t caller_address = 0; // IPv4, host order
     std::uint16_t caller_port = 0;
+    // Between the end of the header and that of the body.
+    std::chrono::milliseconds body_time{0};
 };
 
 struct response {
--- a/pollenreel/http/receive_budget.hpp
+++ b/pollenreel/http/receive_budget.hpp
@@ -20,6 +20,10 @@
         m_used += bytes;
         return m_used <= m_limit || size <= always_allowed;
     }
+    // Whether a message of that size can be received whole now.
+    [[nodiscard]] bool has_room(std::size_t size) const {
+        return size <= always_allowed || m_used + size <= m_limit;
+    }
     // A message of that size has been handed on, or cut off.
     void release(std::size_t size) { m_used -= size; }
     [[nodiscard]] std::size_t used() const { return m_used; }
--- a/pollenreel/http/server.hpp
+++ b/pollenreel/http/server.hpp
@@ -11,6 +11,7 @@
 
 #include "pollenreel/base/endpoint.hpp"
 #include "pollenreel/http/message.hpp"
+#include "pollenreel/http/receive_budget.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -18,6 +19,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace pollenreel::http {
@@ -55,6 +57,10 @@
     std::weak_ptr<waiting> m_to;
 };
 using handler = std::function<void(request, responder)>;
+// Decides on a request with a body once its header has been read. A response
+// is sent in place of the handler's, without reading the body, and closes the
+// connection.
+using header_filter = std::function<std::optional<response>(const request&)>;
 
 struct server_options {
     base::endpoint listen;
@@ -68,11 +74,17 @@
     std::chrono::milliseconds idle_timeout{60'000}; // between requests
     // From the first byte of a request to the end of its header.
     std::chrono::milliseconds header_timeout{10'000};
-    std::chrono::milliseconds body_timeout{30'000};
+    // Without any byte of a body.
+    std::chrono::milliseconds body_timeout{10'000};
     std::chrono::milliseconds write_timeout{30'000}; // of one answer
     bool share_port = false; // several threads listen on one port
     // Headers put on answers to requests that are refused as malformed.
     headers refusal_headers;
+    // Empty: all bodies are read.
+    http::header_filter header_filter;
+    // Bounds the memory of bodies, from their first byte to the answer; null:
+    // no bound. What does not fit is answered with 503.
+    std::shared_ptr<receive_budget> budget;
 };
 
 struct server_counters {
