Count attempts that are connecting towards a route's limit

Cause: only sent attempts counted. A hedge beside a first attempt that was still connecting was not charged to the retry budget either. Change: attempts that are connecting count like sent ones, for the limit and for the budget; one that fails to connect gives its place back. Measured: 'attempts that are connecting count towards the route's limit' fails without the change and passes with it.

--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -192,7 +192,7 @@
         std::string object;
         std::uint64_t object_hash = 0;
         base::time_point arrived_at;
-        // Earliest deadline of the caller, the route and a requested stop.
+        // Earliest deadline of the caller and the route.
         base::time_point expires_at;
         std::vector<base::attempt_id> open_attempts;
         std::vector<base::target_id> tried;
@@ -265,6 +265,9 @@
                                                     base::time_point now);
     void start_first_attempt(pending_request& pending, base::time_point now,
                              effects& out);
+    // Attempts of the request that have not been sent and may still be.
+    [[nodiscard]] std::uint32_t
+    connecting_attempts(const pending_request& pending) const;
     // Starts another attempt if that is safe and within the route's limits and
     // the retry budget. Returns whether it did.
     bool try_another_attempt(pending_request& pending, attempt_cause cause,
--- a/pollenreel/dispatch/core_attempts.cpp
+++ b/pollenreel/dispatch/core_attempts.cpp
@@ -37,10 +37,21 @@
     }
 }
 
+std::uint32_t core::connecting_attempts(const pending_request& pending) const {
+    return static_cast<std::uint32_t>(std::count_if(
+        pending.open_attempts.begin(), pending.open_attempts.end(),
+        [&](base::attempt_id id) {
+            return m_open_attempts.at(id).machine.current_phase() ==
+                   request::attempt::phase::connecting;
+        }));
+}
+
 bool core::try_another_attempt(pending_request& pending, attempt_cause cause,
                                base::time_point now, effects& out) {
     const bool safe = pending.route->idempotent || !pending.may_have_run;
-    if (!safe || pending.sent_attempts >= pending.route->max_attempts ||
+    // Those that are connecting will be sent.
+    const auto attempts = pending.sent_attempts + connecting_attempts(pending);
+    if (!safe || attempts >= pending.route->max_attempts ||
         pending.failed_connects >= max_failed_connects ||
         now >= pending.expires_at || !m_view || !m_view->routes) {
         return false;
@@ -56,7 +67,7 @@
     }
     // An attempt that was never sent reached no target, so another one does not
     // count as a repeat.
-    if (pending.sent_attempts > 0 &&
+    if (attempts > 0 &&
         !budget_for(pending.service).try_spend(m_view->instances.size(), now)) {
         return false;
     }
--- a/pollenreel/dispatch/core_test.cpp
+++ b/pollenreel/dispatch/core_test.cpp
@@ -128,6 +128,41 @@
     CHECK(find<refuse>(out)->refusal.outcome == outcome::unknown);
 }
 
+// The first attempt failed, and while the second one was connecting the hedge's
+// time came: a third target ran the request (BUDGET).
+TEST_CASE("attempts that are connecting count towards the route's limit") {
+    struct row {
+        const char* name;
+        bool first_fails; // and is repeated before the hedge is due
+        bool hedged;
+    };
+    const row rows[] = {
+        {"a hedge beside the first attempt", false, true},
+        {"a hedge while the second attempt connects", true, false},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        driver d(true, 5);
+        const auto first = opened(d.arrive());
+        d.handle(request::attempt_connected{first});
+        d.now += 100ms;
+        if (r.first_fails) {
+            const auto out =
+                d.handle(request::attempt_answered{first, answered(500)});
+            CHECK(find<open_attempt>(out) != nullptr);
+        }
+        d.now += 400ms; // past the time of the hedge
+        const auto out = d.handle(tick{});
+        CHECK((find<open_attempt>(out) != nullptr) == r.hedged);
+        // A target cannot be reached: its place is free again.
+        if (r.first_fails) {
+            const auto second = request::attempt_connect_failed{
+                base::attempt_id(first.value() + 1)};
+            CHECK(find<open_attempt>(d.handle(second)) != nullptr);
+        }
+    }
+}
+
 TEST_CASE(
     "a request that exceeds its route's timeout ends with the right outcome") {
     struct row {
