Take no request during a planned stop that may not end in time

Cause: a stopping instance took requests until the end of its grace time and shortened their deadline to it. Change: a request whose deadline or route's time-out lies behind the end is refused at once as not run, with a short Retry-After, before its body is read; deadlines are no longer shortened.

--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -28,6 +28,14 @@
 // this fraction of the cost on the assigned side.
 constexpr double max_reassign_cost_ratio = 0.8;
 
+// Earliest deadline of the caller and the route.
+base::time_point expiry_of(const arrival& a, const routes::route& r,
+                           base::time_point now) {
+    return now + std::min(r.timeout, a.time_left.value_or(default_time_left));
+}
+
+// Other instances can take the request at once.
+constexpr milliseconds stopping_retry_after{50};
 // Operators need at least seconds to replace a configuration.
 constexpr milliseconds unreadable_retry_after{1000};
 
@@ -37,6 +45,8 @@
         return std::nullopt;
     case reason::unreadable_route:
         return unreadable_retry_after;
+    case reason::stopping:
+        return stopping_retry_after;
     default:
         return default_retry_after;
     }
@@ -112,13 +122,15 @@
 
 std::optional<reason> core::find_route(const arrival& a, base::time_point now,
                                        const routes::route*& found) const {
-    if (m_stop_at && now >= *m_stop_at) {
-        return reason::stopping;
-    }
     if (!m_view || !m_view->routes) {
         return reason::no_configuration;
     }
     found = m_view->routes->find(a.host, a.path);
+    if (found != nullptr && m_stop_at &&
+        expiry_of(a, *found, now) > *m_stop_at) {
+        // It could be cut off, or answered only after the process has ended.
+        return reason::stopping;
+    }
     if (found == nullptr) {
         return m_view->routes->source().is_complete ? reason::unknown_route
                                                     : reason::unreadable_route;
@@ -160,11 +172,7 @@
     pending.object_hash =
         XXH64(pending.object.data(), pending.object.size(), 0);
     pending.arrived_at = now;
-    pending.expires_at =
-        now + std::min(route->timeout, e.time_left.value_or(default_time_left));
-    if (m_stop_at) {
-        pending.expires_at = std::min(pending.expires_at, *m_stop_at);
-    }
+    pending.expires_at = expiry_of(e, *route, now);
     m_timers.emplace(pending.expires_at, pending.id, timer::expiry);
     budget_for(pending.service).on_request(now);
     start_first_attempt(pending, now, out);
--- a/pollenreel/dispatch/core_test.cpp
+++ b/pollenreel/dispatch/core_test.cpp
@@ -285,15 +285,40 @@
     CHECK(refused < 196);
 }
 
-TEST_CASE("a stopping instance serves requests only until its deadline") {
-    driver d(false);
-    const auto before = opened(d.arrive());
-    d.handle(stop_requested{d.now + 500ms});
-    CHECK_FALSE(d.tested_core().ready());
-    d.handle(request::attempt_connected{before});
-    CHECK(find<open_attempt>(d.arrive()) != nullptr); // still served
-    d.now += 500ms;
-    const auto out = d.arrive();
-    REQUIRE(find<refuse>(out) != nullptr);
-    CHECK(find<refuse>(out)->refusal.reason == reason::stopping);
+// Requests that came late in the grace time were sent to a target and cut off
+// at its end (LOST). Their route's time-out is 1200 ms.
+TEST_CASE("a stopping instance takes only requests that can end in time") {
+    struct row {
+        const char* name;
+        std::chrono::milliseconds until_stop; // when the request arrives
+        std::chrono::milliseconds time_left;  // of its caller
+        bool taken;
+    };
+    const row rows[] = {
+        {"far from the end", 5000ms, 3000ms, true},
+        {"the time-out just fits", 1200ms, 3000ms, true},
+        {"the time-out does not fit", 1199ms, 3000ms, false},
+        {"the caller does not wait for so long", 500ms, 400ms, true},
+        {"at the end", 0ms, 3000ms, false},
+        {"after the end", -100ms, 3000ms, false},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        driver d(false);
+        const auto before = opened(d.arrive());
+        d.handle(request::attempt_connected{before});
+        d.handle(stop_requested{d.now + 5000ms});
+        CHECK_FALSE(d.tested_core().ready());
+        d.now += 5000ms - r.until_stop;
+        const auto out = d.handle(arrival{base::request_id(100), "shop.example",
+                                          "/orders/7", "7", r.time_left});
+        CHECK((find<open_attempt>(out) != nullptr) == r.taken);
+        const auto* refused = find<refuse>(out);
+        REQUIRE((refused == nullptr) == r.taken);
+        if (refused != nullptr) {
+            CHECK(refused->refusal.outcome == outcome::not_run);
+            CHECK(refused->refusal.reason == reason::stopping);
+            CHECK(refused->retry_after.has_value());
+        }
+    }
 }
