Catch up with a long list of changes at once, and relay nothing before

Cause: the store answers a watch with a part of the changes if they are many. The client paused between two such pages like between two reports, up to 1.8 s. Ruled out: time-outs of the relays' polls, the store's return being noticed late (0.45 s), the decoder's processor time (no gap within a page). Until a report is the last, a watcher is not current: no relayed response, no contact.

--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -204,6 +204,7 @@
         newest = std::max(newest, e.modified);
     }
     m_listing = false;
+    m_is_current = true;
     m_seen_revision = all->at;
     if (is_first_listing) {
         m_journal.reset(newest);
@@ -275,9 +276,15 @@
 
 follower::actions follower::on_report(const store::watch_changed& r,
                                       base::time_point now) {
-    m_state.on_contact(now);
     m_backoff.reset();
+    m_is_current = !r.more;
+    if (m_is_current) {
+        m_state.on_contact(now);
+    }
     apply(r.changes, now);
+    if (!m_is_current) {
+        return {};
+    }
     const auto interval = *m_open_watch_interval;
     auto next = follow(now);
     // The open watch continues unless its interval has to change.
@@ -292,6 +299,7 @@
 follower::actions follower::on_report(const store::watch_closed&,
                                       base::time_point now) {
     m_state.on_contact_lost(now);
+    m_is_current = false;
     m_retry_at = now + m_backoff.next_delay(max_watch_retry_delay);
     return {};
 }
@@ -307,6 +315,7 @@
         avoid_relay(now);
         return follow(now);
     }
+    m_is_current = true;
     m_state.on_contact(now - a->age);
     apply(a->changes, now);
     m_seen_revision = std::max(m_seen_revision, a->seen_revision);
@@ -367,7 +376,8 @@
     // A listing in progress will soon show what was missed.
     const bool is_relisting = m_listing && m_seen_revision.value > 0;
     if (!(m_open_watch_interval || is_relisting) || m_retry_at ||
-        !m_unread.empty() || !is_store_reachable || m_state.is_restoring(now)) {
+        !m_unread.empty() || !m_is_current || !is_store_reachable ||
+        m_state.is_restoring(now)) {
         return {};
     }
     // Later pages of a listing may contain changes after m_seen_revision. They
@@ -407,6 +417,7 @@
     m_retry_at.reset();
     m_backoff.reset();
     m_state.on_contact(now);
+    m_is_current = false;
     return watch_store();
 }
 
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -153,6 +153,8 @@
     relay_choice m_relay;
     bool m_listing = false;
     store::revision m_seen_revision{}; // all changes up to it are known
+    // False from the loss of a watch until the changes since then are known.
+    bool m_is_current = false;
     std::optional<base::time_point> m_retry_at;
     retry_backoff m_backoff;
     // Set while a watch is open.
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -288,6 +288,55 @@
           std::vector<std::int64_t>{50});
 }
 
+// A watcher that had been turned away by the store told the instances that
+// polled it that its old state was current (DRAIN).
+TEST_CASE("a watcher relays nothing until it has caught up with the store") {
+    struct row {
+        const char* name;
+        bool regained_by_call; // otherwise by the next try of the watch
+    };
+    const row rows[] = {
+        {"the watch is tried again", false},
+        {"another call succeeds first", true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        fleet_state known({}, {});
+        follower f({"", make_instance("i-1", "a"), departure_bound}, decode,
+                   known, [](const change&, effect) {});
+        const auto status = [&](base::time_point now) {
+            return f.make_relay_response({{31}, 0ms}, true, now).status;
+        };
+        CHECK(f.start(start_time).size() == 1);
+        CHECK(f.on_list_reply(store::found_all{{{"t/a", "", {30}, {}}}, {31}},
+                              start_time)
+                  .size() == 1);
+        CHECK(status(start_time) == relay_status::current);
+        auto now = start_time + 100ms;
+        CHECK(f.on_watch_report(store::watch_closed{}, now).empty());
+        CHECK(status(now) != relay_status::current);
+        now += 9s;
+        const auto next =
+            r.regained_by_call ? f.on_store_regained(now) : f.tick(now);
+        REQUIRE(next.size() == 1);
+        CHECK(std::holds_alternative<follower::watch>(next[0]));
+        // Past the time for which entries are kept after an outage.
+        now += 3s;
+        CHECK(status(now) != relay_status::current);
+        CHECK(f.on_watch_report(
+                   store::watch_changed{{written("t/b", 40)}, true}, now)
+                  .empty());
+        CHECK(status(now) != relay_status::current);
+        CHECK(f.on_watch_report(store::watch_changed{{removed("t/a", 50)}}, now)
+                  .empty());
+        now += 3s;
+        const auto response = f.make_relay_response({{31}, 0ms}, true, now);
+        CHECK(response.status == relay_status::current);
+        CHECK(revisions(response.changes) == std::vector<std::int64_t>{40, 50});
+        CHECK(response.age == 3s);
+    }
+}
+
 // While a fleet is upgraded, its watchers may be older than the instances that
 // poll them.
 TEST_CASE("a watcher relays entries that it cannot decode itself") {
--- a/pollenreel/store/messages.hpp
+++ b/pollenreel/store/messages.hpp
@@ -129,6 +129,9 @@
 };
 struct watch_changed {
     std::vector<key_change> changes;
+    // Further changes may be waiting: the next report follows at once, and
+    // until then what is known may be old.
+    bool more = false;
 };
 // The store has compacted the changes before `oldest`. Ends the watch: read the
 // keys again, then watch from the revision of that read.
