Offer a request that cannot queue to a target with a free slot

Cause: a request was refused when the best target for its object had a queue that it could not wait for, although others had free slots. Change: before a refusal the target with a free slot and the earliest expected answer is tried, on the same side of the region's share. Measured: 'a request that cannot wait in a queue goes to a free target' fails without the change.

--- a/pollenreel/dispatch/placement.cpp
+++ b/pollenreel/dispatch/placement.cpp
@@ -69,20 +69,21 @@
     const double ahead = estimated.occupancy + 1 - slots;
     const auto wait = ahead > 0 ? work * (ahead / slots) : seconds(0);
     const seconds latency(query.target_latency);
-    auto cost =
-        wait + work * work_weight +
-        latency * (position_cost * static_cast<double>(position) +
-                   failure_cost * option.state->failure_rate(query.now));
+    auto risk = latency * failure_cost * option.state->failure_rate(query.now);
     const auto limit =
         std::max<base::duration>(query.target_latency,
                                  query.profile->expected(estimated.kind)) *
         unresponsive_factor;
     if (option.state->unresponsive(limit, query.now)) {
-        cost += latency * unresponsive_cost;
+        risk += latency * unresponsive_cost;
     }
+    const auto cost = wait + work * work_weight +
+                      latency * position_cost * static_cast<double>(position) +
+                      risk;
     estimated.wait = std::chrono::duration_cast<base::duration>(wait);
     estimated.expected =
         std::chrono::duration_cast<base::duration>(wait + work);
+    estimated.risk = std::chrono::duration_cast<base::duration>(risk);
     estimated.cost = std::chrono::duration_cast<base::duration>(cost);
     return estimated;
 }
@@ -100,10 +101,17 @@
             continue;
         }
         ++best.candidates;
-        auto& best_on_side = scored.entry->abroad ? best.abroad : best.home;
+        const bool is_abroad = scored.entry->abroad;
+        auto& cheapest = is_abroad ? best.abroad : best.home;
+        auto& free = is_abroad ? best.abroad_free : best.home_free;
         const auto estimated = estimate(*scored.entry, position, query);
-        if (!best_on_side || estimated.cost < best_on_side->cost) {
-            best_on_side = estimated;
+        if (!cheapest || estimated.cost < cheapest->cost) {
+            cheapest = estimated;
+        }
+        const bool has_slot = estimated.wait == base::duration::zero();
+        if (has_slot && (!free || estimated.expected + estimated.risk <
+                                      free->expected + free->risk)) {
+            free = estimated;
         }
     }
     return best;
