--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -301,42 +301,33 @@
                      pending.route->target_latency, now, pending.tried});
     auto& share = share_for(pending.service);
     const bool abroad = share.assigned_abroad(pending.object);
-    const placement_choice home{best.home, best.home_free, best.candidates};
-    const placement_choice remote{best.abroad, best.abroad_free,
-                                  best.candidates};
-    const auto& assigned = abroad ? remote : home;
-    const auto& other = abroad ? home : remote;
-    if (!assigned.best) {
-        return other;
+    const auto& assigned = abroad ? best.abroad : best.home;
+    const auto& other = abroad ? best.home : best.abroad;
+    if (!assigned) {
+        return {other, best.candidates};
     }
     const bool better =
-        other.best && std::chrono::duration<double>(other.best->cost) <
-                          std::chrono::duration<double>(assigned.best->cost) *
-                              max_reassign_cost_ratio;
-    return share.try_reassign(abroad, better, now) ? other : assigned;
+        other && std::chrono::duration<double>(other->cost) <
+                     std::chrono::duration<double>(assigned->cost) *
+                         max_reassign_cost_ratio;
+    return {share.try_reassign(abroad, better, now) ? other : assigned,
+            best.candidates};
 }
 
 void core::start_first_attempt(pending_request& pending, base::time_point now,
                                effects& out) {
-    auto choice = choose_placement(pending, now);
-    if (!choice.best) {
+    const auto choice = choose_placement(pending, now);
+    const auto& best = choice.best;
+    if (!best) {
         return refuse_request(pending.id, not_run(reason::no_target), {},
                               retry_delay(pending.service, now), now, out);
     }
-    const admission_query query{
-        now - pending.arrived_at, pending.expires_at - now,
-        pending.route->target_latency, pending.route->priority};
-    const auto verdict = admit(*choice.best, query);
+    const auto verdict =
+        admit(*best, {now - pending.arrived_at, pending.expires_at - now,
+                      pending.route->target_latency, pending.route->priority});
     if (const auto* rejection = std::get_if<rejected>(&verdict)) {
-        const bool is_free_admitted =
-            choice.free &&
-            std::holds_alternative<admitted>(admit(*choice.free, query));
-        if (!is_free_admitted) {
-            return refuse_request(pending.id, not_run(reason::overloaded),
-                                  choice.best, rejection->retry_after, now,
-                                  out);
-        }
-        choice.best = choice.free;
+        return refuse_request(pending.id, not_run(reason::overloaded), best,
+                              rejection->retry_after, now, out);
     }
     start_attempt(pending, choice, attempt_cause::first, now, out);
     schedule_hedge(pending, now);
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -257,8 +257,6 @@
                      base::time_point now, effects& out);
     struct placement_choice {
         std::optional<placement> best; // nullopt if no target is usable
-        // With a free slot, on the same side as `best`.
-        std::optional<placement> free;
         std::size_t candidates = 0;
     };
     // Chooses between the best target in the own region and the best abroad,
--- a/pollenreel/dispatch/placement.cpp
+++ b/pollenreel/dispatch/placement.cpp
@@ -69,21 +69,20 @@
     const double ahead = estimated.occupancy + 1 - slots;
     const auto wait = ahead > 0 ? work * (ahead / slots) : seconds(0);
     const seconds latency(query.target_latency);
-    auto risk = latency * failure_cost * option.state->failure_rate(query.now);
+    auto cost =
+        wait + work * work_weight +
+        latency * (position_cost * static_cast<double>(position) +
+                   failure_cost * option.state->failure_rate(query.now));
     const auto limit =
         std::max<base::duration>(query.target_latency,
                                  query.profile->expected(estimated.kind)) *
         unresponsive_factor;
     if (option.state->unresponsive(limit, query.now)) {
-        risk += latency * unresponsive_cost;
+        cost += latency * unresponsive_cost;
     }
-    const auto cost = wait + work * work_weight +
-                      latency * position_cost * static_cast<double>(position) +
-                      risk;
     estimated.wait = std::chrono::duration_cast<base::duration>(wait);
     estimated.expected =
         std::chrono::duration_cast<base::duration>(wait + work);
-    estimated.risk = std::chrono::duration_cast<base::duration>(risk);
     estimated.cost = std::chrono::duration_cast<base::duration>(cost);
     return estimated;
 }
@@ -101,17 +100,10 @@
             continue;
         }
         ++best.candidates;
-        const bool is_abroad = scored.entry->abroad;
-        auto& cheapest = is_abroad ? best.abroad : best.home;
-        auto& free = is_abroad ? best.abroad_free : best.home_free;
+        auto& best_on_side = scored.entry->abroad ? best.abroad : best.home;
         const auto estimated = estimate(*scored.entry, position, query);
-        if (!cheapest || estimated.cost < cheapest->cost) {
-            cheapest = estimated;
-        }
-        const bool has_slot = estimated.wait == base::duration::zero();
-        if (has_slot && (!free || estimated.expected + estimated.risk <
-                                      free->expected + free->risk)) {
-            free = estimated;
+        if (!best_on_side || estimated.cost < best_on_side->cost) {
+            best_on_side = estimated;
         }
     }
     return best;
--- a/pollenreel/dispatch/placement.hpp
+++ b/pollenreel/dispatch/placement.hpp
@@ -51,7 +51,6 @@
     double occupancy = 0;      // requests running and waiting there
     base::duration wait{};     // for a slot
     base::duration expected{}; // until the answer, the wait included
-    base::duration risk{};     // penalty for failures and silence
     // What candidates are compared by: the weighted expected time and the
     // penalties.
     base::duration cost{};
@@ -60,10 +59,6 @@
 struct placements {
     std::optional<placement> home; // nullopt if no target is usable
     std::optional<placement> abroad;
-    // Of the targets with a free slot, those with the earliest expected answer,
-    // wherever the object is cached.
-    std::optional<placement> home_free;
-    std::optional<placement> abroad_free;
     std::size_t candidates = 0; // number compared
 };
 
