--- a/pollenreel/routes/traffic_split_test.cpp
+++ b/pollenreel/routes/traffic_split_test.cpp
@@ -40,10 +40,10 @@
             ++counts[routes::select_service(route, draw).str()];
         }
         CHECK(counts.size() == r.expected.size());
-        for (const auto& [service, part] : r.expected) {
-            CAPTURE(service);
-            CHECK(counts[service] ==
-                  doctest::Approx(part * draws).epsilon(0.001));
+        for (const auto& expected : r.expected) {
+            CAPTURE(expected.first);
+            CHECK(counts[expected.first] ==
+                  doctest::Approx(expected.second * draws).epsilon(0.001));
         }
         // Rounding may leave a rest at the end of the range.
         const auto last =
