Relay a part of many changes with its true age

Cause: since a watcher refused polls from the first page of many changes to the last, in calm as well. Change: only after a lost watch nothing is relayed before the last page; in calm a part is relayed with the age of the last whole knowledge.

--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -277,12 +277,12 @@
 follower::actions follower::on_report(const store::watch_changed& r,
                                       base::time_point now) {
     m_backoff.reset();
-    m_is_current = !r.more;
-    if (m_is_current) {
+    if (!r.more) {
+        m_is_current = true;
         m_state.on_contact(now);
     }
     apply(r.changes, now);
-    if (!m_is_current) {
+    if (r.more) {
         return {};
     }
     const auto interval = *m_open_watch_interval;
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -337,6 +337,31 @@
     }
 }
 
+// The first page of many changes made a watcher refuse all polls for a few
+// milliseconds, and a region of instances turned to the store.
+TEST_CASE("a part of many changes is relayed with the age of what is known") {
+    fleet_state known({}, {});
+    follower f({"", make_instance("i-1", "a"), departure_bound}, decode, known,
+               [](const change&, effect) {});
+    CHECK(f.start(start_time).size() == 1);
+    CHECK(f.on_list_reply(store::found_all{{{"t/a", "", {30}, {}}}, {31}},
+                          start_time)
+              .size() == 1);
+    const auto now = start_time + 700ms;
+    CHECK(
+        f.on_watch_report(store::watch_changed{{written("t/b", 40)}, true}, now)
+            .empty());
+    const auto part = f.make_relay_response({{31}, 0ms}, true, now);
+    CHECK(part.status == relay_status::current);
+    CHECK(part.age == 700ms);
+    CHECK(revisions(part.changes) == std::vector<std::int64_t>{40});
+    CHECK(f.on_watch_report(store::watch_changed{{written("t/c", 41)}}, now)
+              .empty());
+    const auto rest = f.make_relay_response({{40}, 0ms}, true, now);
+    CHECK(rest.age == 0ms);
+    CHECK(revisions(rest.changes) == std::vector<std::int64_t>{41});
+}
+
 // While a fleet is upgraded, its watchers may be older than the instances that
 // poll them.
 TEST_CASE("a watcher relays entries that it cannot decode itself") {
