--- /dev/null
+++ b/review/standins/json.cc
@@ -0,0 +1,2 @@
+// Boost.JSON, compiled into the drivers.
+#include <boost/json/src.hpp>
