--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -140,11 +140,12 @@
     return true;
 }
 
-// Waits for bytes; 0 at the end of the stream, -1 at an error or time-out.
+// Waits for bytes; 0 at the end of the stream, -1 at an error, -2 at a
+// time-out.
 inline long read_some(int s, std::string& to, milliseconds limit) {
     pollfd p{s, POLLIN, 0};
     if (::poll(&p, 1, static_cast<int>(limit.count())) <= 0) {
-        return -1;
+        return -2;
     }
     char bytes[16384];
     const auto n = ::recv(s, bytes, sizeof bytes, 0);
@@ -208,8 +209,7 @@
         if (n > 0) {
             return read_result::whole;
         }
-        return n < 0 && steady::now() >= until ? read_result::timed_out
-                                               : read_result::closed;
+        return n == -2 ? read_result::timed_out : read_result::closed;
     };
     std::size_t end = 0;
     while ((end = seen.find("\r\n\r\n")) == std::string::npos) {
