--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -104,8 +104,8 @@
     store platform;
     platform.write("op/config", configuration());
     std::vector<std::unique_ptr<upstream>> warm;
-    for (const auto* zone :
-         {"cairo-a", "cairo-b", "cairo-a", "cairo-b", "alex-a", "aswan-a"}) {
+    for (const auto* zone : {"cairo-a", "cairo-b", "cairo-a", "cairo-b",
+                             "alex-a", "alex-b", "aswan-a"}) {
         warm.push_back(std::make_unique<upstream>(
             text("i-", warm.size(), "-", zone), "bench-desk", zone, work));
         platform.write(warm.back()->key(), warm.back()->entry());
