Read nothing behind the last request of a connection

Cause: a session that had refused a request before its body went on reading once an earlier response had been written. Only the state 'not reading now' was consulted, which it shares with a session that may read on. Change: a session keeps that the last request of its connection has been read: refused for any reason, or asking to close. It replaces two members, one of which nothing read. The test fixture of held responses moves to testing/. Why it works: after that point no byte of the connection is parsed, so it can neither be a request nor start a time-out.

--- a/pollenreel/http/http_test.cpp
+++ b/pollenreel/http/http_test.cpp
@@ -1,6 +1,7 @@
 #include "pollenreel/http/client.hpp"
 #include "pollenreel/http/error.hpp"
 #include "pollenreel/http/server.hpp"
+#include "testing/held_server.hpp"
 #include "testing/ports.hpp"
 #include "testing/raw_exchange.hpp"
 
@@ -18,6 +19,7 @@
 using namespace pollenreel;
 using namespace std::chrono_literals;
 using testing::free_endpoint;
+using testing::held_server;
 using testing::raw_exchange;
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
@@ -187,78 +189,6 @@
 
 namespace {
 
-// A server whose answers the test gives, with its caller, on one thread.
-class held_server {
-public:
-    explicit held_server(http::server_options o = {}) {
-        o.listen = free_endpoint();
-        m_server.emplace(m_io, o, [this](http::request r, http::responder a) {
-            r.headers.clear();
-            paths.push_back(r.path);
-            a.on_gone([this] { ++gone; });
-            answers.push_back(std::move(a));
-        });
-        REQUIRE(m_server->start().has_value());
-        m_at = o.listen;
-        caller = connect();
-        caller.non_blocking(true);
-    }
-
-    tcp::socket connect() {
-        tcp::socket s(m_io);
-        s.connect({asio::ip::make_address_v4(m_at.host), m_at.port});
-        return s;
-    }
-    // Runs what is ready by now.
-    void settle() {
-        while (m_io.poll_one() > 0) {
-        }
-    }
-    void send(const std::string& bytes) {
-        asio::write(caller, asio::buffer(bytes));
-    }
-    template <class Condition>
-    void run_until(Condition reached) {
-        for (int i = 0; i < 1000 && !reached(); ++i) {
-            m_io.run_one_for(10ms);
-        }
-        REQUIRE(reached());
-    }
-    // All that came so far.
-    std::string received() {
-        std::string bytes(65'536, '\0');
-        boost::system::error_code e;
-        const auto got = caller.receive(asio::buffer(bytes), 0, e);
-        return bytes.substr(0, got);
-    }
-    std::string receive(std::size_t answers_expected) {
-        std::string all;
-        run_until([&] {
-            all += received();
-            std::size_t count = 0;
-            for (auto at = all.find("HTTP/1.1 "); at != std::string::npos;
-                 at = all.find("HTTP/1.1 ", at + 1)) {
-                ++count;
-            }
-            return count >= answers_expected;
-        });
-        return all;
-    }
-    http::server& server() { return *m_server; }
-
-    std::vector<std::string> paths;
-    std::vector<http::responder> answers;
-    int gone = 0;
-
-private:
-    asio::io_context m_io;
-    base::endpoint m_at;
-    std::optional<http::server> m_server;
-
-public:
-    tcp::socket caller{m_io};
-};
-
 http::server_options pipelined() {
     http::server_options o;
     o.max_pipelined = 3;
--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -276,9 +276,9 @@
     m_reading = false;
     auto message = m_parser->release();
     m_parser.reset();
-    m_keep_alive = message.keep_alive();
+    m_last_read = !message.keep_alive();
     auto owed = std::make_shared<slot>(
-        shared_from_this(), message.method() == bhttp::verb::head, m_keep_alive,
+        shared_from_this(), message.method() == bhttp::verb::head, !m_last_read,
         std::exchange(m_received, 0));
     m_owed.push_back(owed);
     expect(phase::busy);
@@ -289,7 +289,7 @@
         steady::now() - m_header_read_at);
     m_owner.handle(std::move(r),
                    responder(std::weak_ptr<responder::waiting>(owed)));
-    if (m_closed || m_finishing || m_reading || !m_keep_alive) {
+    if (m_closed || m_finishing || m_reading || m_last_read) {
         return m_closed || m_reading ? void() : watch_for_close();
     }
     if (m_owed.size() < m_owner.options.max_pipelined) {
@@ -314,8 +314,7 @@
 // Answers a request that is not read to its end, after those before it.
 void session::refuse(response r) {
     m_reading = false;
-    m_keep_alive = false;
-    m_refused = true;
+    m_last_read = true;
     expect(phase::busy);
     m_owed.push_back(std::make_shared<slot>(shared_from_this(), false, false));
     answer(*m_owed.back(), std::move(r));
@@ -428,7 +427,7 @@
         return close();
     }
     expect(m_owed.empty() ? phase::idle : phase::busy);
-    if (!m_reading) {
+    if (!m_reading && !m_last_read) {
         await_bytes();
     }
     write_next();
--- a/pollenreel/http/internal/session.hpp
+++ b/pollenreel/http/internal/session.hpp
@@ -96,8 +96,9 @@
     std::size_t m_received = 0; // of the body, as accounted for
     boost::asio::ip::tcp::endpoint m_caller;
     bool m_reading = false;
-    bool m_keep_alive = true; // as the last request read asked
-    bool m_refused = false;   // the last answer owed is our refusal
+    // The last request of the connection has been read: it was refused, or
+    // asked to close. What follows it is not a request.
+    bool m_last_read = false;
     bool m_stopping = false;
     bool m_finishing = false; // the closing answer is out
     bool m_closed = false;
