Keep instances that expired in an outage for the restore time

Cause: entries of instances were dropped when the store reported their end, where those of targets are kept for the 2 s in which they are written again. Each instance divided common allowances by itself alone until it heard of the others. Change: instances are kept like targets, by a threshold of their own (half of their lease). Until the restore time after its first listing an instance does not know the others, and leaves cold targets and the slack for repeats to them. Why it works: the sum of the shares stays below the bound as long as each instance counts at least those that send.

--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -197,6 +197,9 @@
     if (t.cold_until <= now && !s.recently_recovered(now)) {
         return false;
     }
+    if (!m_view->instances_known) {
+        return true;
+    }
     const auto* service = m_view->routes->find(t.service);
     const double rate = service == nullptr ? 0 : service->cold_rate;
     const double bound =
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -237,6 +237,10 @@
                const routes::route*& found) const;
     latency_profile& profile_for(const pending_request& pending);
     retry_budget& budget_for(const base::service_id& service);
+    // How many share what all instances may use together; 0 if unknown.
+    [[nodiscard]] std::size_t sharing_instances() const {
+        return m_view->instances_known ? m_view->instances.size() : 0;
+    }
     [[nodiscard]] std::vector<candidate>
     candidates_for(const pending_request& pending, base::time_point now);
     [[nodiscard]] bool is_cold_quota_exhausted(const fleet::target& t,
--- a/pollenreel/dispatch/core_attempts.cpp
+++ b/pollenreel/dispatch/core_attempts.cpp
@@ -68,7 +68,7 @@
     // An attempt that was never sent reached no target, so another one does not
     // count as a repeat.
     if (attempts > 0 &&
-        !budget_for(pending.service).try_spend(m_view->instances.size(), now)) {
+        !budget_for(pending.service).try_spend(sharing_instances(), now)) {
         return false;
     }
     start_attempt(pending, choice, cause, now, out);
@@ -104,7 +104,7 @@
         share_for(pending.service).abroad(),
         state.load_age(now),
         state.in_flight(),
-        budget_for(pending.service).remaining(m_view->instances.size(), now),
+        budget_for(pending.service).remaining(sharing_instances(), now),
         pending.expires_at - now};
     m_open_attempts[id] = {{},
                            pending.id,
--- a/pollenreel/dispatch/core_test.cpp
+++ b/pollenreel/dispatch/core_test.cpp
@@ -235,6 +235,22 @@
     CHECK(find<refuse>(d.arrive())->refusal.reason == reason::no_target);
 }
 
+// Each instance that does not know the others took the whole of what all
+// together may send to a cold target (FAILBACK), or repeat.
+TEST_CASE("an instance that does not know the others leaves them the shared") {
+    for (const bool known : {true, false}) {
+        CAPTURE(known);
+        driver d(true);
+        d.publish(true, 3, d.now + 10s, 1, known);
+        CHECK((find<open_attempt>(d.arrive()) != nullptr) == known);
+        d.publish(true, 3, {}, 1, known);
+        const auto first = opened(d.arrive());
+        d.handle(request::attempt_connected{first});
+        const auto then = d.handle(request::attempt_lost{first});
+        CHECK((find<open_attempt>(then) != nullptr) == known);
+    }
+}
+
 TEST_CASE("requests for an object go to one target while it has free slots") {
     driver d(true, 3);
     std::map<base::target_id, int> by_target;
--- a/pollenreel/dispatch/core_test_support.hpp
+++ b/pollenreel/dispatch/core_test_support.hpp
@@ -35,7 +35,8 @@
     }
 
     void publish(bool idempotent, std::size_t targets,
-                 base::time_point cold_until, std::int64_t incarnation = 1) {
+                 base::time_point cold_until, std::int64_t incarnation = 1,
+                 bool instances_known = true) {
         routes::configuration c;
         c.version = base::config_version(1);
         routes::route r;
@@ -68,6 +69,7 @@
         fleet::instance self;
         self.id = base::instance_id("i-1");
         v->instances.push_back(self);
+        v->instances_known = instances_known;
         handle(view_changed{v});
     }
 
--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -33,6 +33,7 @@
     fleet::fleet_state_options o;
     o.report_lag = 2 * s.heartbeat_interval;
     o.outage_threshold = s.heartbeat_interval * 7 / 4;
+    o.instance_outage_threshold = milliseconds(s.stable_window) / 2;
     return o;
 }
 
--- a/pollenreel/fleet/fleet_state.cpp
+++ b/pollenreel/fleet/fleet_state.cpp
@@ -48,19 +48,27 @@
     if (found == m_targets.end()) {
         return effect::none;
     }
-    if (!is_restoring(now) || found->second.report.draining) {
+    const auto at = deferred_removal(m_target_expiry, now);
+    if (!at || found->second.report.draining) {
         m_targets.erase(found);
         return effect::changed;
     }
     if (!found->second.remove_at) {
-        // The store's return is unknown while the outage lasts.
-        found->second.remove_at = m_contact_lost_at
-                                      ? now + m_options.restore_time
-                                      : m_restore_deadline;
+        found->second.remove_at = at;
     }
     return effect::deferred;
 }
 
+std::optional<base::time_point>
+fleet_state::deferred_removal(const expiry& of, base::time_point now) const {
+    if (!is_restoring(of, now)) {
+        return std::nullopt;
+    }
+    // The store's return is unknown while the outage lasts.
+    return m_contact_lost_at ? now + m_options.restore_time
+                             : of.restore_deadline;
+}
+
 effect fleet_state::apply_change(const configuration_written& c,
                                  base::time_point) {
     if (m_routes && c.configuration.version <= m_routes->source().version) {
@@ -96,15 +104,30 @@
 effect fleet_state::apply_change(const instance_written& c, base::time_point) {
     m_listed_instances.insert(c.instance.id);
     auto& known = m_instances[c.instance.id];
-    if (known == c.instance) {
+    const bool was_expiring = known.remove_at.has_value();
+    known.remove_at.reset();
+    if (known.announced == c.instance && !was_expiring) {
         return effect::none;
     }
-    known = c.instance;
+    known.announced = c.instance;
     return effect::changed;
 }
 
-effect fleet_state::apply_change(const instance_removed& c, base::time_point) {
-    return m_instances.erase(c.id) > 0 ? effect::changed : effect::none;
+effect fleet_state::apply_change(const instance_removed& c,
+                                 base::time_point now) {
+    const auto found = m_instances.find(c.id);
+    if (found == m_instances.end()) {
+        return effect::none;
+    }
+    const auto at = deferred_removal(m_instance_expiry, now);
+    if (!at) {
+        m_instances.erase(found);
+        return effect::changed;
+    }
+    if (!found->second.remove_at) {
+        found->second.remove_at = at;
+    }
+    return effect::deferred;
 }
 
 effect fleet_state::apply_change(const unrelated&, base::time_point) {
@@ -129,7 +152,9 @@
     if (!std::exchange(m_listing, false)) {
         return {};
     }
-    m_has_listed = true;
+    if (!m_first_listed_at) {
+        m_first_listed_at = now;
+    }
     std::vector<change> missing;
     missing.reserve(m_targets.size() + m_instances.size() + m_evacuated.size());
     for (const auto& [id, t] : m_targets) {
@@ -161,9 +186,11 @@
 }
 
 void fleet_state::on_reply(base::time_point now) {
-    if (m_contact_lost_at &&
-        now - *m_contact_lost_at >= m_options.outage_threshold) {
-        m_restore_deadline = now + m_options.restore_time;
+    for (auto* of : {&m_target_expiry, &m_instance_expiry}) {
+        if (m_contact_lost_at &&
+            now - *m_contact_lost_at >= of->outage_threshold) {
+            of->restore_deadline = now + m_options.restore_time;
+        }
     }
     m_contact_lost_at.reset();
     // A relay's report may be older than the last reply.
@@ -177,21 +204,33 @@
 }
 
 bool fleet_state::is_restoring(base::time_point now) const {
-    return now < m_restore_deadline ||
+    return is_restoring(m_target_expiry, now) ||
+           is_restoring(m_instance_expiry, now);
+}
+
+bool fleet_state::is_restoring(const expiry& of, base::time_point now) const {
+    return now < of.restore_deadline ||
            (m_contact_lost_at &&
-            now - *m_contact_lost_at >= m_options.outage_threshold);
+            now - *m_contact_lost_at >= of.outage_threshold);
 }
 
 bool fleet_state::remove_expired(base::time_point now) {
     std::erase_if(m_cold_unknown_until,
                   [&](const auto& one) { return now >= one.second; });
-    return std::erase_if(m_targets, [&](const auto& one) {
-               return one.second.remove_at && now >= *one.second.remove_at;
-           }) > 0;
+    const auto is_due = [&](const auto& one) {
+        return one.second.remove_at && now >= *one.second.remove_at;
+    };
+    const auto removed =
+        std::erase_if(m_targets, is_due) + std::erase_if(m_instances, is_due);
+    const bool became_known =
+        !m_instances_known && m_first_listed_at &&
+        now >= *m_first_listed_at + m_options.restore_time;
+    m_instances_known = m_instances_known || became_known;
+    return removed > 0 || became_known;
 }
 
 bool fleet_state::is_complete() const {
-    return m_has_listed && m_routes != nullptr;
+    return m_first_listed_at && m_routes != nullptr;
 }
 
 base::region_id fleet_state::region_of(const base::failure_domain_id& d) const {
@@ -225,6 +264,7 @@
         }
     }
     v->instances = instances();
+    v->instances_known = m_instances_known;
     return v;
 }
 
@@ -232,7 +272,7 @@
     std::vector<instance> all;
     all.reserve(m_instances.size());
     for (const auto& [id, one] : m_instances) {
-        all.push_back(one);
+        all.push_back(one.announced);
     }
     return all;
 }
--- a/pollenreel/fleet/fleet_state.hpp
+++ b/pollenreel/fleet/fleet_state.hpp
@@ -1,6 +1,7 @@
 // The state of the fleet as this instance knows it from the platform's store.
-// Keeps its contents while the store is unreachable: targets whose entries
-// expired in an outage are kept until they had time to be written again.
+// Keeps its contents while the store is unreachable: targets and instances
+// whose entries expired in an outage are kept until they had time to be written
+// again.
 //
 //   fleet_state state(regions, {});
 //   state.apply(change, now);
@@ -29,6 +30,9 @@
     // heartbeat intervals without a report, of which one may have passed before
     // the gap, and a quarter is left for late reports.
     std::chrono::milliseconds outage_threshold{2625};
+    // The same for instances, whose leases have 60% of their time to live left
+    // at least, less a tenth for late renewals.
+    std::chrono::milliseconds instance_outage_threshold{1500};
     // After an evacuation a target's latest report may predate its going cold:
     // two heartbeat intervals of 1.5 s.
     std::chrono::milliseconds report_lag{3000};
@@ -70,8 +74,8 @@
     // Whether entries may be missing because of a current or recent outage.
     [[nodiscard]] bool is_restoring(base::time_point now) const;
 
-    // Removes targets whose deferred removal is due. Returns whether any was
-    // removed.
+    // Removes targets and instances whose deferred removal is due. Returns
+    // whether the view changed.
     bool remove_expired(base::time_point now);
 
     // Whether a full listing has completed and a configuration is known.
@@ -87,6 +91,15 @@
         std::optional<base::time_point> remove_at;
         bool listed = false;
     };
+    struct known_instance {
+        fleet::instance announced;
+        std::optional<base::time_point> remove_at;
+    };
+    // Entries of one kind that an outage may have ended.
+    struct expiry {
+        std::chrono::milliseconds outage_threshold;
+        base::time_point restore_deadline{};
+    };
 
     effect apply_change(const target_written& c, base::time_point now);
     effect apply_change(const target_removed& c, base::time_point now);
@@ -98,6 +111,11 @@
     effect apply_change(const unrelated& c, base::time_point now);
     effect apply_change(const unreadable& c, base::time_point now);
     effect remove(const base::target_id& id, base::time_point now);
+    // When to remove an entry that the store has no longer; nullopt: now.
+    [[nodiscard]] std::optional<base::time_point>
+    deferred_removal(const expiry& of, base::time_point now) const;
+    [[nodiscard]] bool is_restoring(const expiry& of,
+                                    base::time_point now) const;
     [[nodiscard]] base::region_id
     region_of(const base::failure_domain_id& d) const;
     [[nodiscard]] target build_target(const known_target& t) const;
@@ -106,7 +124,7 @@
     fleet_state_options m_options;
     routes::route_table_ptr m_routes;
     std::map<base::target_id, known_target> m_targets;
-    std::map<base::instance_id, instance> m_instances;
+    std::map<base::instance_id, known_instance> m_instances;
     std::set<base::failure_domain_id> m_evacuated;
     // Recently evacuated domains. Until the given time, reports of their
     // targets may understate how long the targets stay cold.
@@ -114,11 +132,15 @@
     std::set<base::instance_id> m_listed_instances;
     std::set<base::failure_domain_id> m_listed_evacuations;
     bool m_listing = false;
-    bool m_has_listed = false; // a listing has completed
+    std::optional<base::time_point> m_first_listed_at;
+    // Set once instances that expired before the first listing had time to be
+    // announced again.
+    bool m_instances_known = false;
     std::optional<base::time_point> m_contact_lost_at;
     base::time_point m_last_contact_at{};
     base::time_point m_last_reply_at{};
-    base::time_point m_restore_deadline{}; // of expired entries
+    expiry m_target_expiry{m_options.outage_threshold};
+    expiry m_instance_expiry{m_options.instance_outage_threshold};
 };
 
 } // namespace pollenreel::fleet
--- a/pollenreel/fleet/fleet_state_test.cpp
+++ b/pollenreel/fleet/fleet_state_test.cpp
@@ -132,6 +132,67 @@
     }
 }
 
+// After an outage that had ended the leases of all instances, each one took
+// itself for the only one until it heard of the others again, and sent to cold
+// targets what all together were allowed to (FAILBACK).
+TEST_CASE("instances that expired in an outage count for the restore time") {
+    struct row {
+        const char* name;
+        base::duration outage; // before the removal
+        bool announced_again;
+        base::duration later; // after the store's return
+        std::size_t known;    // of the two that there were
+    };
+    const row rows[] = {
+        {"removed while the store is reachable", 0s, false, 0s, 1},
+        {"removed after a gap that ends no lease", 1400ms, false, 0s, 1},
+        {"removed in an outage, store just back", 4s, false, 1s, 2},
+        {"still missing later", 4s, false, 2s, 1},
+        {"announced again", 4s, true, 3s, 2},
+    };
+    instance other;
+    other.id = base::instance_id("front-2");
+    instance self;
+    self.id = base::instance_id("front-1");
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        fleet_state b(regions, {});
+        b.on_contact(start_time);
+        b.apply(instance_written{self}, start_time);
+        b.apply(instance_written{other}, start_time);
+        auto now = start_time + r.outage;
+        if (r.outage > 0s) {
+            b.on_contact_lost();
+        }
+        b.on_contact(now);
+        const auto gone = b.apply(instance_removed{other.id}, now);
+        CHECK(gone == (r.outage > 2s ? effect::deferred : effect::changed));
+        if (r.announced_again) {
+            // Polling instances must hear of it, as they did of the removal.
+            CHECK(b.apply(instance_written{other}, now + 1s) ==
+                  effect::changed);
+        }
+        b.remove_expired(now + r.later);
+        CHECK(b.instances().size() == r.known);
+    }
+}
+
+// An instance that had just started counted only those that were announced
+// again by then.
+TEST_CASE("the instances are known once all had time to be announced") {
+    fleet_state b(regions, {});
+    b.remove_expired(start_time);
+    CHECK_FALSE(b.build_view()->instances_known);
+    b.on_contact(start_time);
+    b.begin_listing();
+    b.end_listing(start_time);
+    CHECK_FALSE(b.remove_expired(start_time + 1900ms));
+    CHECK_FALSE(b.build_view()->instances_known);
+    CHECK(b.remove_expired(start_time + 2s));
+    CHECK(b.build_view()->instances_known);
+    CHECK_FALSE(b.remove_expired(start_time + 3s));
+}
+
 // The gap counted from the last report of the watch, although other calls had
 // been answered since: a short silence passed for an outage.
 TEST_CASE("any reply of the store ends a gap") {
--- a/pollenreel/fleet/view.hpp
+++ b/pollenreel/fleet/view.hpp
@@ -48,6 +48,9 @@
     routes::route_table_ptr routes;  // null if no configuration is known
     std::vector<target> targets;     // usable ones, ordered by id
     std::vector<instance> instances; // live ones, ordered by id
+    // False while instances may be missing that the store had no time to name
+    // again: what is shared by all must then be left to the others.
+    bool instances_known = true;
     // Targets in these domains get no requests.
     std::vector<base::failure_domain_id> evacuated_domains;
     // Time of the last reply of the platform's store.
