Bound what a message holds outside of its body

What callers could see: an instance that runs out of memory and ends, with all requests that it carried. One caller that sends a chunk extension or trailers without end, or a store of pollenreeld whose watch does, was read until the time-out for bodies, or for ever. Cause: the limits of header and body cover neither, and the buffer had no limit of its own, except where responses of targets are read. Change: the buffer of a caller's connection holds a header and a read at most, that of a stream as well. Beyond it the request gets 431, a stream ends.

--- a/pollenreel/http/client_stream.cpp
+++ b/pollenreel/http/client_stream.cpp
@@ -22,6 +22,8 @@
 using tcp = asio::ip::tcp;
 
 constexpr int http_1_1 = 11;
+// Beast's defaults for a header and for a read.
+constexpr std::size_t largest_buffer = 8192 + 65'536;
 
 } // namespace
 
@@ -43,6 +45,8 @@
         m_request.body() = r.body;
         m_request.prepare_payload();
         m_parser.body_limit(boost::none);
+        // Bounds what is not part of the body, such as chunk extensions.
+        m_buffer.max_size(largest_buffer);
         beast::error_code bad;
         const tcp::endpoint at(asio::ip::make_address_v4(to.host, bad),
                                to.port);
--- a/pollenreel/http/endless_response_test.cpp
+++ b/pollenreel/http/endless_response_test.cpp
@@ -1,5 +1,6 @@
 // Responses whose bytes do not end until the client closes the connection.
 #include "pollenreel/http/client_connection.hpp"
+#include "pollenreel/http/client_stream.hpp"
 #include "pollenreel/http/error.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -123,6 +124,33 @@
     }
 }
 
+// The bytes between two chunks of a watch were kept without bound.
+TEST_CASE("a stream of bytes without end is cut off outside of its body") {
+    struct row {
+        const char* name;
+        const char* head;
+    };
+    const row rows[] = {
+        {"a field without end", "HTTP/1.1 200 OK\r\nA: "},
+        {"a chunk extension without end",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;"},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        asio::io_context io;
+        const endless_server server(io, r.head, std::string(16'384, 'x'));
+        http::client_stream stream(io);
+        std::optional<base::failure> ended;
+        stream.open(server.at(), {}, 5s,
+                    {[](std::string_view) {},
+                     [&](const base::failure& f) { ended = f; }});
+        for (int i = 0; i < 10'000 && !ended; ++i) {
+            REQUIRE(io.run_one() > 0);
+        }
+        CHECK(ended.has_value());
+    }
+}
+
 TEST_CASE("many responses without end stay within one budget of memory") {
     constexpr std::size_t limit = 1'048'576;
     constexpr std::size_t count = 16;
--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -19,6 +19,8 @@
 // cut off.
 constexpr std::chrono::milliseconds linger{1000};
 constexpr std::size_t read_at_once = 4096; // bytes
+// Beast's default for a read.
+constexpr std::size_t beast_read_size = 65'536;
 constexpr unsigned unavailable = 503;
 
 // Without the body.
@@ -171,6 +173,10 @@
     m_parser.emplace();
     m_parser->header_limit(m_owner.options.limits.header_bytes);
     m_parser->body_limit(m_owner.options.limits.body_bytes);
+    // Bounds what is not part of the body, such as chunk extensions.
+    m_buffer.max_size(
+        std::max(m_owner.options.limits.header_bytes + beast_read_size,
+                 m_buffer.size()));
     if (m_buffer.size() > 0) {
         return read_header();
     }
--- a/pollenreel/http/refused_request_test.cpp
+++ b/pollenreel/http/refused_request_test.cpp
@@ -101,6 +101,39 @@
     }
 }
 
+// The bytes between two chunks were kept without bound until the time-out for
+// bodies.
+TEST_CASE("a caller's bytes without end are cut off outside of its body") {
+    const std::string chunked =
+        "PUT /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct row {
+        const char* name;
+        std::string head;
+        std::string bytes;
+    };
+    const std::string fields = "A: " + std::string(1000, 'b') + "\r\n";
+    const row rows[] = {
+        {"a header field", "GET /1 HTTP/1.1\r\nA: ", std::string(1000, 'b')},
+        {"header fields", "GET /1 HTTP/1.1\r\n", fields},
+        {"a chunk extension", chunked + "1;", std::string(1000, 'b')},
+        {"trailers", chunked + "1\r\nx\r\n0\r\n", fields},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        held_server s(options());
+        s.send(r.head);
+        std::string got;
+        for (int i = 0; i < 500 && got.empty(); ++i) {
+            boost::system::error_code e;
+            s.caller.write_some(boost::asio::buffer(r.bytes), e);
+            s.settle();
+            got = s.received();
+        }
+        CHECK(got.find(" 431 ") != std::string::npos);
+        CHECK(s.answers.empty());
+    }
+}
+
 // The unread body was taken for a slow header, and the connection was closed
 // at its time-out with the responses that were owed.
 TEST_CASE("a refused body does not time out the requests before it") {
