Don't discard into the buffer of a read that was cancelled

What callers could see: nothing known. Cause: the closing answer cancels a read of the next request and begins to discard what comes; the cancelled read may have got bytes already, and reads on into the same buffer, which can move it while the other read points into it. Change: what is discarded goes to bytes that all sessions of a thread share. Measured: http_test passes before and after. The fault was found by reading and is not shown by a run.

--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <array>
+
 namespace pollenreel::http::internal {
 
 namespace {
@@ -450,9 +452,11 @@
 }
 
 void session::discard() {
-    m_buffer.clear();
+    // Nobody looks at these bytes, so all sessions share them. A read of a
+    // request that was cancelled may still use the session's own buffer.
+    thread_local std::array<char, read_at_once> unused;
     m_socket.async_read_some(
-        m_buffer.prepare(read_at_once),
+        asio::buffer(unused),
         [self = shared_from_this()](beast::error_code e, std::size_t) {
             if (self->m_closed) {
                 return;
