Count a growing body by the memory that it takes

What callers could see: 48 callers at a target that sends without end made an instance peak at three times its budget for responses, on machines of 160 MB where callers' bodies come on top; past the limit its process ends, with the requests of all other callers. Cause: the budget counted what a body holds. One of unknown length doubles its capacity and holds the old and the new block while it moves. Bodies of callers counted alike, and the budget of responses had one size on all machines. Change: such a body counts by its capacity, and grows in steps that are counted, with the copy, before they are allocated. The budget of responses is an eighth of the memory. A response without a length is refused at its head where none is taken. Two metrics; the stand-in of pollenreeld's targets can be endless. Why it works: nothing is allocated for a body over 64 KB that the budget has not granted.

--- a/pollenreel/egress/target_pool.cpp
+++ b/pollenreel/egress/target_pool.cpp
@@ -1,5 +1,7 @@
 #include "pollenreel/egress/target_pool.hpp"
 
+#include "pollenreel/http/error.hpp"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -99,6 +101,10 @@
         return;
     }
     if (!response) {
+        m_cut_off += response.error().code ==
+                             http::make_error_code(http::error::too_large)
+                         ? 1
+                         : 0;
         return report_lost(attempt);
     }
     auto& e = found->second;
--- a/pollenreel/egress/target_pool.hpp
+++ b/pollenreel/egress/target_pool.hpp
@@ -70,6 +70,12 @@
     [[nodiscard]] std::uint64_t opened_total() const {
         return m_last_connection.value();
     }
+    // Memory of the bodies that are being received, in bytes.
+    [[nodiscard]] std::size_t receiving_bytes() const {
+        return m_budget->used();
+    }
+    // Responses that were larger than the limits or than the memory left.
+    [[nodiscard]] std::uint64_t cut_off_total() const { return m_cut_off; }
 
 private:
     using connection_ptr = std::shared_ptr<http::client_connection>;
@@ -101,6 +107,7 @@
     boost::unordered_flat_map<request::connection_id, connection_ptr>
         m_connections;
     request::connection_id m_last_connection;
+    std::uint64_t m_cut_off = 0;
 };
 
 } // namespace pollenreel::egress
--- a/pollenreel/entry/settings.cpp
+++ b/pollenreel/entry/settings.cpp
@@ -76,7 +76,7 @@
         }},
     row{"instance.memory_mb", "16-1048576", "256",
         "memory that this process may use, in MB; a quarter of it holds the "
-        "bodies of requests",
+        "bodies of requests, an eighth the responses of targets",
         [](settings& s, text v) {
             return store_number(s.memory_mb, v, std::uint64_t{16},
                                 std::uint64_t{1'048'576});
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -36,6 +36,7 @@
 constexpr std::size_t most_directory_addresses = 64;
 constexpr std::size_t megabyte = std::size_t{1024} * 1024;
 constexpr std::size_t memory_per_body_budget = 4;
+constexpr std::size_t memory_per_response_budget = 8;
 constexpr std::uint32_t answer_header_bytes = 64 * 1024;
 constexpr std::uint64_t answer_body_bytes = 64ULL * 1024 * 1024;
 constexpr http::limits small_messages{8 * 1024, 8ULL * 1024};
@@ -59,7 +60,7 @@
     o.max_pipelined = max_pipelined;
     o.header_filter = std::move(filter);
     // A body is held twice while it is sent to a target; the other half of the
-    // memory is for everything else.
+    // memory is for responses and everything else.
     o.budget = std::make_shared<http::receive_budget>(s.memory_mb * megabyte /
                                                       memory_per_body_budget);
     return o;
@@ -71,6 +72,7 @@
     o.connections.max_idle = s.target_idle;
     o.allow_close_delimited = true;
     o.skip_mismatched = true;
+    o.max_receiving_bytes = s.memory_mb * megabyte / memory_per_response_budget;
     return o;
 }
 
@@ -265,11 +267,12 @@
         return {
             200,
             {{"Content-Type", "text/plain; version=0.0.4"}},
-            metrics_text({m_core.counts(), m_metrics.read(),
-                          m_core.requests_in_flight(), m_callers.connections(),
-                          m_callers.counters().malformed, m_lookups,
-                          m_targets.connections(), m_targets.opened_total(),
-                          m_view.get(), m_clock.now(), m_control})};
+            metrics_text(
+                {m_core.counts(), m_metrics.read(), m_core.requests_in_flight(),
+                 m_callers.connections(), m_callers.counters().malformed,
+                 m_lookups, m_targets.connections(), m_targets.opened_total(),
+                 m_targets.receiving_bytes(), m_targets.cut_off_total(),
+                 m_view.get(), m_clock.now(), m_control})};
     }
 
     void handle(const dispatch::event& e) {
--- a/pollenreel/entry/traffic_metrics.cpp
+++ b/pollenreel/entry/traffic_metrics.cpp
@@ -49,6 +49,12 @@
                static_cast<double>(s.target_connections));
     page.counter("pollenreel_target_connections_opened_total",
                  "Connections opened to targets.", s.target_connections_opened);
+    page.gauge("pollenreel_receiving_bytes",
+               "Memory of the bodies that targets are sending, in bytes.",
+               static_cast<double>(s.receiving_bytes));
+    page.counter("pollenreel_responses_cut_off_total",
+                 "Responses of targets beyond the limits or the memory left.",
+                 s.responses_cut_off);
     if (s.view == nullptr) {
         return;
     }
--- a/pollenreel/entry/traffic_metrics.hpp
+++ b/pollenreel/entry/traffic_metrics.hpp
@@ -44,6 +44,8 @@
     std::uint64_t lookups = 0;
     std::size_t target_connections = 0;
     std::uint64_t target_connections_opened = 0;
+    std::size_t receiving_bytes = 0;
+    std::uint64_t responses_cut_off = 0;
     const fleet::view* view = nullptr; // null: none yet
     base::time_point now{};
     const control_counts& control;
--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -1,6 +1,7 @@
 #include "pollenreel/http/client_connection.hpp"
 
 #include "pollenreel/http/error.hpp"
+#include "pollenreel/http/internal/body_memory.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -88,7 +89,7 @@
     explicit state(asio::io_context& io) : m_stream(io) {}
     state(const state&) = delete;
     state& operator=(const state&) = delete;
-    ~state() { release_budget(); }
+    ~state() = default;
 
     void connect(const base::endpoint& to, std::chrono::milliseconds timeout,
                  connected done) {
@@ -108,6 +109,7 @@
                   answered done, answer_terms terms) {
         m_answered = std::move(done);
         m_terms = std::move(terms);
+        m_memory.emplace(m_terms.budget);
         m_limits = l;
         m_strays = 0;
         m_reusable = false;
@@ -202,6 +204,10 @@
     }
 
     void read_body() {
+        if (!is_length_known() &&
+            !m_memory->make_room(m_parser->get().body(), m_buffer.max_size())) {
+            return finish(no_memory());
+        }
         bhttp::async_read_some(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](beast::error_code e, std::size_t) {
@@ -216,9 +222,13 @@
         if (e) {
             return finish(read_failure(e));
         }
-        if (!grow()) {
-            return finish(base::failure{make_error_code(error::too_large),
-                                        "no memory left for the answer"});
+        if (!m_memory->count(m_parser->get().body(), is_length_known())) {
+            return finish(no_memory());
+        }
+        if (m_parser->need_eof() && !m_terms.allow_close_delimited) {
+            return finish(
+                base::failure{make_error_code(error::incomplete_message),
+                              "the answer does not say how long it is"});
         }
         if (!m_parser->is_done()) {
             return read_body();
@@ -226,30 +236,17 @@
         on_answer();
     }
 
-    // Accounts for the body received so far; false if it has to be cut off.
-    bool grow() {
-        if (!m_terms.budget) {
-            return true;
-        }
-        const auto size = m_parser->get().body().size();
-        const auto bytes = size - m_received;
-        m_received = size;
-        return m_terms.budget->try_grow(bytes, size);
+    [[nodiscard]] bool is_length_known() const {
+        return m_parser->content_length().has_value();
     }
 
-    void release_budget() {
-        if (m_terms.budget) {
-            m_terms.budget->release(std::exchange(m_received, 0));
-        }
+    static base::failure no_memory() {
+        return {make_error_code(error::too_large),
+                "no memory left for the answer"};
     }
 
     void on_answer() {
         const bool close_delimited = m_parser->need_eof();
-        if (close_delimited && !m_terms.allow_close_delimited) {
-            return finish(
-                base::failure{make_error_code(error::incomplete_message),
-                              "the answer does not say how long it is"});
-        }
         const bool keep_alive = m_parser->keep_alive();
         auto got = to_response(m_parser->release());
         if (m_terms.matches && !m_terms.matches(got)) {
@@ -258,7 +255,7 @@
                     base::failure{make_error_code(error::malformed_message),
                                   "the answer belongs to another request"});
             }
-            release_budget();
+            m_memory->release();
             return read_answer();
         }
         m_reusable = keep_alive && !close_delimited && m_strays == 0 &&
@@ -268,7 +265,8 @@
     }
 
     void finish(base::result<response> r) {
-        release_budget();
+        m_parser.reset(); // with what was read of a body that is cut off
+        m_memory->release();
         auto done = std::move(m_answered);
         m_answered = nullptr;
         done(std::move(r));
@@ -283,9 +281,9 @@
     answered m_answered;
     answer_terms m_terms;
     limits m_limits;
-    std::size_t m_received = 0; // of the body, as accounted for
-    int m_strays = 0;           // answers to other requests, in this exchange
-    bool m_writing = false;     // the request, or writing it failed
+    std::optional<internal::body_memory> m_memory; // of this exchange
+    int m_strays = 0;       // answers to other requests, in this exchange
+    bool m_writing = false; // the request, or writing it failed
     bool m_reusable = false;
     bool m_closed = false;
 };
--- a/pollenreel/http/endless_response_test.cpp
+++ b/pollenreel/http/endless_response_test.cpp
@@ -2,6 +2,7 @@
 #include "pollenreel/http/client_connection.hpp"
 #include "pollenreel/http/client_stream.hpp"
 #include "pollenreel/http/error.hpp"
+#include "pollenreel/http/internal/body_memory.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -151,6 +152,28 @@
     }
 }
 
+// A body of unknown length counted by its size, while the string that held it
+// took two to three times as much.
+TEST_CASE("a growing body counts with all the memory that it takes") {
+    constexpr std::size_t limit = 1'048'576;
+    const std::string step(10'000, 'x');
+    const auto budget = std::make_shared<http::receive_budget>(limit);
+    http::internal::body_memory memory(budget);
+    std::string body;
+    std::size_t most = 0;
+    while (memory.make_room(body, step.size())) {
+        body += step;
+        REQUIRE(memory.count(body, false));
+        CHECK(budget->used() >= body.capacity());
+        most = std::max(most, body.capacity());
+    }
+    CHECK(most <= limit);
+    CHECK(body.size() > limit / 3); // with a copy of it that is a little larger
+    CHECK(body.capacity() <= body.size() * 2);
+    memory.release();
+    CHECK(budget->used() == 0);
+}
+
 TEST_CASE("many responses without end stay within one budget of memory") {
     constexpr std::size_t limit = 1'048'576;
     constexpr std::size_t count = 16;
--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -104,7 +104,8 @@
 };
 
 session::session(tcp::socket socket, owner o)
-    : m_socket(std::move(socket)), m_owner(o), m_budget(o.options.budget) {
+    : m_socket(std::move(socket)), m_owner(o), m_budget(o.options.budget),
+      m_memory(o.options.budget) {
     beast::error_code ignored;
     m_caller = m_socket.remote_endpoint(ignored);
     m_socket.set_option(tcp::no_delay(true), ignored);
@@ -114,9 +115,6 @@
 }
 
 session::~session() {
-    if (m_budget) {
-        m_budget->release(m_received);
-    }
     if (!m_orphaned) {
         m_owner.sessions.erase(this);
     }
@@ -245,17 +243,11 @@
     return {unavailable, std::move(headers), "no memory for the body\n"};
 }
 
-bool session::grow() {
-    if (!m_budget) {
-        return true;
-    }
-    const auto size = m_parser->get().body().size();
-    const auto bytes = size - m_received;
-    m_received = size;
-    return m_budget->try_grow(bytes, size);
-}
-
 void session::read_body() {
+    if (!m_parser->content_length() &&
+        !m_memory.make_room(m_parser->get().body(), m_buffer.max_size())) {
+        return refuse(no_room());
+    }
     expect(phase::body);
     bhttp::async_read_some(
         m_socket, m_buffer, *m_parser,
@@ -271,7 +263,8 @@
     if (e) {
         return on_read_end(e);
     }
-    if (!grow()) {
+    if (!m_memory.count(m_parser->get().body(),
+                        m_parser->content_length().has_value())) {
         return refuse(no_room());
     }
     if (!m_parser->is_done()) {
@@ -285,9 +278,9 @@
     auto message = m_parser->release();
     m_parser.reset();
     m_last_read = !message.keep_alive();
-    auto owed = std::make_shared<slot>(
-        shared_from_this(), message.method() == bhttp::verb::head, !m_last_read,
-        std::exchange(m_received, 0));
+    auto owed = std::make_shared<slot>(shared_from_this(),
+                                       message.method() == bhttp::verb::head,
+                                       !m_last_read, m_memory.take());
     m_owed.push_back(owed);
     expect(phase::busy);
     const auto self = shared_from_this();
@@ -323,6 +316,8 @@
 void session::refuse(response r) {
     m_reading = false;
     m_last_read = true;
+    m_parser.reset(); // with what was read of the body
+    m_memory.release();
     expect(phase::busy);
     m_owed.push_back(std::make_shared<slot>(shared_from_this(), false, false));
     answer(*m_owed.back(), std::move(r));
--- a/pollenreel/http/internal/session.hpp
+++ b/pollenreel/http/internal/session.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "pollenreel/base/clock.hpp"
+#include "pollenreel/http/internal/body_memory.hpp"
 #include "pollenreel/http/server.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -59,8 +60,6 @@
     void on_header(boost::system::error_code e);
     void read_body();
     void on_body(boost::system::error_code e);
-    // Accounts for the body received so far; false if there is no room for it.
-    [[nodiscard]] bool grow();
     [[nodiscard]] std::optional<response> refuse_body();
     void refuse(response r);
     [[nodiscard]] response no_room() const;
@@ -93,7 +92,7 @@
     std::optional<base::time_point> m_overdue_at;
     std::optional<base::time_point> m_idle_since;
     base::time_point m_header_read_at{};
-    std::size_t m_received = 0; // of the body, as accounted for
+    body_memory m_memory; // of the body that is being read
     boost::asio::ip::tcp::endpoint m_caller;
     bool m_reading = false;
     // The last request of the connection has been read: it was refused, or
--- a/pollenreel/http/receive_budget.hpp
+++ b/pollenreel/http/receive_budget.hpp
@@ -28,10 +28,10 @@
     void release(std::size_t size) { m_used -= size; }
     [[nodiscard]] std::size_t used() const { return m_used; }
 
-private:
     // A message up to this size is never cut off.
     static constexpr std::size_t always_allowed = 65'536;
 
+private:
     std::size_t m_limit;
     std::size_t m_used = 0;
 };
--- a/testing/fleet.cpp
+++ b/testing/fleet.cpp
@@ -70,6 +70,18 @@
     ::kill(m_child->id(), number);
 }
 
+int process::peak_memory_mb() const {
+    std::ifstream status("/proc/" + std::to_string(m_child->id()) + "/status");
+    const std::string field = "VmHWM:"; // in KB
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with(field)) {
+            return std::stoi(line.substr(field.size())) / 1024;
+        }
+    }
+    return 0;
+}
+
 int process::wait() {
     m_child->wait();
     return *ended();
@@ -143,6 +155,10 @@
     return m_daemons[i]->wait();
 }
 
+int fleet::peak_memory_mb(std::size_t i) const {
+    return m_daemons[i]->peak_memory_mb();
+}
+
 // Declares what is to be declared, until every instance applies it.
 bool fleet::in_force() const {
     http::request put;
--- a/testing/fleet.hpp
+++ b/testing/fleet.hpp
@@ -42,6 +42,8 @@
     int wait();
     // The same, empty while it runs.
     [[nodiscard]] std::optional<int> ended();
+    // The most memory that it ever had resident.
+    [[nodiscard]] int peak_memory_mb() const;
 
 private:
     class child;
@@ -62,6 +64,7 @@
     void start_instance(std::size_t i);
     void signal(std::size_t i, int number);
     int wait(std::size_t i);
+    [[nodiscard]] int peak_memory_mb(std::size_t i) const;
 
     [[nodiscard]] const std::vector<base::endpoint>& callers() const;
     [[nodiscard]] const std::vector<base::endpoint>& operators() const;
--- a/testing/process_test.cpp
+++ b/testing/process_test.cpp
@@ -8,6 +8,7 @@
 #include <doctest/doctest.h>
 #include <zmq.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <thread>
@@ -149,6 +150,53 @@
     CHECK(answer.value().body.find(f.callers()[1].str()) != std::string::npos);
 }
 
+// Responses that were being received took up to three times what counted.
+TEST_CASE("an instance bears targets whose responses do not end") {
+    constexpr int callers = 48;
+    constexpr int allowed_mb = 128; // half of what an instance may take
+    testing::fleet f({1, 2, 2ms});
+    REQUIRE(f.start());
+    const auto set_mode = [&](const std::string& mode) {
+        for (const auto& t : f.targets()) {
+            const auto set = http::call_and_wait(
+                t, get("/standin/behaviour?mode=" + mode), 2s);
+            REQUIRE(set.has_value());
+        }
+    };
+    set_mode("endless");
+    std::vector<std::thread> all;
+    std::atomic<int> succeeded{0};
+    for (int i = 0; i < callers; ++i) {
+        all.emplace_back([&] {
+            for (int n = 0; n < 5; ++n) {
+                const auto a = http::call_and_wait(f.callers()[0],
+                                                   get("/svc/catalogue/x"), 5s);
+                succeeded += a && a.value().status == 200 ? 1 : 0;
+            }
+        });
+    }
+    for (auto& t : all) {
+        t.join();
+    }
+    CHECK(succeeded == 0);
+    const auto peak = f.peak_memory_mb(0);
+    MESSAGE("peak of " << peak << " MB");
+    CHECK(peak > 0);
+    CHECK(peak <= allowed_mb);
+    set_mode("normal");
+    const auto serves = [&] {
+        const auto a =
+            http::call_and_wait(f.callers()[0], get("/svc/catalogue/y"), 5s);
+        return a && a.value().status == 200;
+    };
+    bool served = serves();
+    for (int i = 0; i < 100 && !served; ++i) {
+        std::this_thread::sleep_for(100ms);
+        served = serves();
+    }
+    CHECK(served);
+}
+
 TEST_CASE("bad input on any listener is refused and the instance serves on") {
     testing::fleet f({1, 1, 2ms});
     REQUIRE(f.start());
--- a/testing/target_standin.cpp
+++ b/testing/target_standin.cpp
@@ -15,9 +15,9 @@
 namespace {
 
 constexpr const char* request_id_header = "Pollenreel-Request-Id";
-constexpr std::array<std::string_view, 7> mode_names = {
-    "normal",  "shed_all",  "crossed", "silent",
-    "closing", "truncated", "draining"};
+constexpr std::array<std::string_view, 8> mode_names = {
+    "normal",  "shed_all",  "crossed",  "silent",
+    "closing", "truncated", "draining", "endless"};
 constexpr std::uint32_t whole = 100; // percent
 
 std::string request_id(const http::request& r) {
@@ -136,6 +136,10 @@
         return;
     case target_mode::closing:
         return w.answer.abort("");
+    case target_mode::endless:
+        return w.answer.flood("HTTP/1.1 200 OK\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n",
+                              "400\r\n" + std::string(0x400, 'x') + "\r\n");
     case target_mode::truncated:
         return w.answer.abort("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n" +
                               std::string(request_id_header) + ": " + w.id +
--- a/testing/target_standin.hpp
+++ b/testing/target_standin.hpp
@@ -30,6 +30,7 @@
     closing,   // runs, closes the connection without an answer
     truncated, // runs, closes the connection within the answer
     draining,  // refuses new work, finishes the rest
+    endless,   // runs, answers in chunks without end
 };
 
 struct target_options {
