--- a/pollenreel/egress/target_pool.cpp
+++ b/pollenreel/egress/target_pool.cpp
@@ -101,10 +101,10 @@
         return;
     }
     if (!response) {
-        m_cut_off += response.error().code ==
-                             http::make_error_code(http::error::too_large)
-                         ? 1
-                         : 0;
+        if (response.error().code ==
+            http::make_error_code(http::error::too_large)) {
+            ++m_cut_off;
+        }
         return report_lost(attempt);
     }
     auto& e = found->second;
