--- a/testing/process_test.cpp
+++ b/testing/process_test.cpp
@@ -165,6 +165,7 @@
     };
     set_mode("endless");
     std::vector<std::thread> all;
+    all.reserve(callers);
     std::atomic<int> succeeded{0};
     for (int i = 0; i < callers; ++i) {
         all.emplace_back([&] {
