--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -32,6 +32,7 @@
 fleet::fleet_state_options belief_options_of(const settings& s) {
     fleet::fleet_state_options o;
     o.report_lag = 2 * s.heartbeat_interval;
+    o.outage_threshold = s.heartbeat_interval * 7 / 4;
     return o;
 }
 
@@ -196,6 +197,11 @@
             const bool failed = std::holds_alternative<store::unreachable>(a) ||
                                 std::holds_alternative<store::unanswered>(a);
             m_counts.store_failures += failed ? 1 : 0;
+            if (failed) {
+                m_beliefs.on_contact_lost();
+            } else {
+                m_beliefs.on_reply(m_clock.now());
+            }
             const bool regained = note_store(!failed, "call");
             done(a);
             if (regained) {
@@ -220,6 +226,12 @@
         }
     }
 
+    // In milliseconds.
+    [[nodiscard]] std::int64_t since(base::time_point t) const {
+        return std::chrono::duration_cast<milliseconds>(m_clock.now() - t)
+            .count();
+    }
+
     // One line when the store is lost, and one when it answers again; true in
     // the latter case.
     bool note_store(bool reached, std::string_view by) {
@@ -227,7 +239,9 @@
             return false;
         }
         if (reached) {
-            m_log.info("store_regained", {{"by", by}});
+            m_log.info(
+                "store_regained",
+                {{"by", by}, {"gap_ms", since(m_beliefs.last_contact_at())}});
         } else {
             m_log.warning("store_lost", {{"by", by}});
             tell_askers();
@@ -289,7 +303,13 @@
         m_out.flush();
         report_dropped_lines();
         m_changed = m_beliefs.remove_expired(now) || m_changed;
-        run(m_follower.tick(now));
+        const auto due = m_follower.tick(now);
+        if (m_store_reached && m_watch && !due.empty() &&
+            std::holds_alternative<fleet::follower::watch>(due.front())) {
+            m_log.info("store_watch_overdue",
+                       {{"gap_ms", since(m_beliefs.last_contact_at())}});
+        }
+        run(due);
         announce();
         if (m_relay_listener) {
             m_relay_listener->tick();
--- a/pollenreel/fleet/fleet_state.cpp
+++ b/pollenreel/fleet/fleet_state.cpp
@@ -156,18 +156,23 @@
 }
 
 void fleet_state::on_contact(base::time_point now) {
+    on_reply(now);
+    m_last_contact_at = std::max(m_last_contact_at, now);
+}
+
+void fleet_state::on_reply(base::time_point now) {
     if (m_contact_lost_at &&
         now - *m_contact_lost_at >= m_options.outage_threshold) {
         m_restore_deadline = now + m_options.restore_time;
     }
     m_contact_lost_at.reset();
-    // A relay's report may be older than what is known.
-    m_last_contact_at = std::max(m_last_contact_at, now);
+    // A relay's report may be older than the last reply.
+    m_last_reply_at = std::max(m_last_reply_at, now);
 }
 
-void fleet_state::on_contact_lost(base::time_point) {
+void fleet_state::on_contact_lost() {
     if (!m_contact_lost_at) {
-        m_contact_lost_at = m_last_contact_at;
+        m_contact_lost_at = m_last_reply_at;
     }
 }
 
--- a/pollenreel/fleet/fleet_state.hpp
+++ b/pollenreel/fleet/fleet_state.hpp
@@ -25,9 +25,10 @@
     // after the store's return, as its operators guarantee. Counted from the
     // first reply, which comes later than the return.
     std::chrono::milliseconds restore_time{2000};
-    // A contact gap shorter than this expires no entries. A third of the
-    // shortest lease on a target's entry.
-    std::chrono::milliseconds outage_threshold{1000};
+    // A contact gap shorter than this expires no entries: they end after three
+    // heartbeat intervals without a report, of which one may have passed before
+    // the gap, and a quarter is left for late reports.
+    std::chrono::milliseconds outage_threshold{2625};
     // After an evacuation a target's latest report may predate its going cold:
     // two heartbeat intervals of 1.5 s.
     std::chrono::milliseconds report_lag{3000};
@@ -56,9 +57,12 @@
     void begin_listing();
     std::vector<std::pair<change, effect>> end_listing(base::time_point now);
 
-    // The store replied, or a call to it failed.
+    // The store confirmed what is known, as of `now`.
     void on_contact(base::time_point now);
-    void on_contact_lost(base::time_point now);
+    // The store replied to any call.
+    void on_reply(base::time_point now);
+    // A call failed, or its reply is overdue.
+    void on_contact_lost();
 
     [[nodiscard]] base::time_point last_contact_at() const {
         return m_last_contact_at;
@@ -113,6 +117,7 @@
     bool m_has_listed = false; // a listing has completed
     std::optional<base::time_point> m_contact_lost_at;
     base::time_point m_last_contact_at{};
+    base::time_point m_last_reply_at{};
     base::time_point m_restore_deadline{}; // of expired entries
 };
 
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -33,6 +33,11 @@
 // the rest of the bound.
 constexpr int fetch_timeout_percent = 25;
 
+// A report that is overdue by this much is asked for anew. Open connections may
+// go silent while new ones work; waiting for the time-out of the call as well
+// would leave the state unconfirmed for as long as an outage that ends leases.
+constexpr milliseconds max_report_delay{500};
+
 // Watches may be retried rarely: lease renewals, which cost a tenth of a watch,
 // detect the store's return sooner.
 constexpr milliseconds max_watch_retry_delay{4000};
@@ -124,23 +129,32 @@
         avoid_relay(now);
         m_relay = choose_relay_now(now);
     }
-    return watch_store();
+    return watch_store(now);
 }
 
-follower::actions follower::watch_store() {
+follower::actions follower::watch_store(base::time_point now) {
     m_polling_relay = false;
+    m_report_due_at.reset();
     m_open_watch_interval = watch_interval();
-    store::watch w{m_options.prefix,
-                   true,
-                   {m_seen_revision.value + 1},
-                   *m_open_watch_interval,
-                   {}};
-    if (m_relay.role == relay_role::watcher) {
-        // Polling instances cannot tell a quiet watcher from a disconnected
-        // one.
-        w.max_report_interval = *m_open_watch_interval;
-    }
-    return {watch{std::move(w)}};
+    const auto age = std::chrono::duration_cast<milliseconds>(
+        now - m_state.last_contact_at());
+    // With the maximum interval a quiet store can be told from a silent
+    // connection, here and by polling instances.
+    return {
+        watch{{m_options.prefix,
+               true,
+               {m_seen_revision.value + 1},
+               *m_open_watch_interval,
+               *m_open_watch_interval,
+               std::max(milliseconds::zero(), *m_open_watch_interval - age)}}};
+}
+
+std::optional<base::time_point>
+follower::next_report_due(base::time_point now) const {
+    if (!m_open_watch_interval) {
+        return std::nullopt;
+    }
+    return now + *m_open_watch_interval;
 }
 
 milliseconds follower::max_contact_age() const {
@@ -182,7 +196,7 @@
     }
     const auto* all = std::get_if<store::found_all>(&r);
     if (all == nullptr) {
-        m_state.on_contact_lost(now);
+        m_state.on_contact_lost();
         m_listing = false;
         m_retry_at = now + m_backoff.next_delay();
         return {};
@@ -283,10 +297,12 @@
     }
     apply(r.changes, now);
     if (r.more) {
+        m_report_due_at = next_report_due(now);
         return {};
     }
     const auto interval = *m_open_watch_interval;
     auto next = follow(now);
+    m_report_due_at = next_report_due(now);
     // The open watch continues unless its interval has to change.
     return m_open_watch_interval == interval ? actions() : next;
 }
@@ -298,8 +314,9 @@
 
 follower::actions follower::on_report(const store::watch_closed&,
                                       base::time_point now) {
-    m_state.on_contact_lost(now);
+    m_state.on_contact_lost();
     m_is_current = false;
+    m_report_due_at.reset();
     m_retry_at = now + m_backoff.next_delay(max_watch_retry_delay);
     return {};
 }
@@ -418,14 +435,21 @@
     m_backoff.reset();
     m_state.on_contact(now);
     m_is_current = false;
-    return watch_store();
+    return watch_store(now);
 }
 
 follower::actions follower::tick(base::time_point now) {
     actions due;
     if (m_retry_at && now >= *m_retry_at) {
         m_retry_at.reset();
-        due = m_seen_revision.value == 0 ? start(now) : watch_store();
+        due = m_seen_revision.value == 0 ? start(now) : watch_store(now);
+    }
+    if (m_report_due_at && now >= *m_report_due_at + max_report_delay &&
+        !m_listing) {
+        // Until the next report there is only this one attempt, so that a slow
+        // store is not asked again and again.
+        m_state.on_contact_lost();
+        due = watch_store(now);
     }
     if (m_read_retry_at && now >= *m_read_retry_at) {
         m_read_retry_at.reset();
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -130,7 +130,10 @@
     // Adds a removal to the journal for each key missing from a new listing.
     void journal_removed_keys(const store::found_all& listed);
     // Watches the store from the revision after the last known one.
-    actions watch_store();
+    actions watch_store(base::time_point now);
+    // Of the open watch.
+    [[nodiscard]] std::optional<base::time_point>
+    next_report_due(base::time_point now) const;
     // The poll of the chosen relay, unless too little time is left for it.
     [[nodiscard]] std::optional<poll> make_poll(base::time_point now) const;
     [[nodiscard]] fetch make_fetch(const base::endpoint& relay,
@@ -159,6 +162,8 @@
     retry_backoff m_backoff;
     // Set while a watch is open.
     std::optional<std::chrono::milliseconds> m_open_watch_interval;
+    // Not set until the watch's first report.
+    std::optional<base::time_point> m_report_due_at;
     bool m_polling_relay = false;
     std::map<base::instance_id, base::time_point> m_avoided_until;
     // Keys that were relayed as references, with their revisions, until they
--- a/pollenreel/fleet/relay_region_test.cpp
+++ b/pollenreel/fleet/relay_region_test.cpp
@@ -132,6 +132,39 @@
     }
 }
 
+// Open connections to the store fell silent for seconds, which was taken for an
+// outage of the store: targets that left meanwhile were kept as if their
+// entries had expired in it (DRAIN).
+TEST_CASE("a departure in a silence of connections is applied in time") {
+    struct row {
+        const char* name;
+        std::chrono::milliseconds bound;
+        std::chrono::milliseconds known_within; // of the silence's begin
+    };
+    const row rows[] = {
+        {"a small fleet", 2500ms, 3000ms},
+        {"a large fleet", 4000ms, 4000ms},
+    };
+    for (const auto& row : rows) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            CAPTURE(row.name);
+            CAPTURE(seed);
+            simulated_region r(8, seed, row.bound);
+            r.targets_report = seed % 2 == 0;
+            r.advance(5s + std::chrono::milliseconds(seed * 131));
+            REQUIRE(r.knows(0, "0"));
+            r.silence_watches();
+            r.advance(300ms);
+            r.remove("t/0");
+            r.advance(row.known_within - 300ms);
+            for (std::size_t i = 0; i < r.size(); ++i) {
+                CAPTURE(i);
+                CHECK_FALSE(r.knows(i, "0"));
+            }
+        }
+    }
+}
+
 // The watcher of a region had a link of 10 Mbit/s and sent each configuration
 // to every other instance (fleetbench: grown ageeb, a day with 1,400 routes and
 // a storm of configurations: CONFIG, DRAIN).
--- a/pollenreel/fleet/simulated_region.hpp
+++ b/pollenreel/fleet/simulated_region.hpp
@@ -24,12 +24,14 @@
 // receive; instances, the store and the network fail as the test sets.
 class simulated_region {
 public:
-    explicit simulated_region(int instance_count, std::uint64_t seed)
+    simulated_region(int instance_count, std::uint64_t seed,
+                     std::chrono::milliseconds bound = departure_bound)
         : simulated_region(
               std::vector<double>(static_cast<std::size_t>(instance_count), 0),
-              seed) {}
+              seed, bound) {}
     // The links in Mbit/s, one for each instance; 0 takes no time.
-    simulated_region(const std::vector<double>& links, std::uint64_t seed)
+    simulated_region(const std::vector<double>& links, std::uint64_t seed,
+                     std::chrono::milliseconds bound = departure_bound)
         : m_random(seed) {
         write("c");
         for (int i = 0; i < 5; ++i) {
@@ -38,7 +40,7 @@
         for (std::size_t i = 0; i < links.size(); ++i) {
             auto self = make_instance("i-" + std::to_string(i), "a");
             self.link_mbps = links[i];
-            m_members.push_back(std::make_unique<node>(self));
+            m_members.push_back(std::make_unique<node>(self, bound));
             instances.push_back(m_members.back()->self);
             write("i/" + self.id.str(),
                   links[i] > 0 ? std::to_string(links[i]) : "");
@@ -54,6 +56,12 @@
     void remove(const std::string& key) {
         m_log.push_back(removed(key, ++m_revision));
     }
+    // Nothing comes any more on the connections that the watches have now.
+    void silence_watches() {
+        for (const auto& n : m_members) {
+            n->watch_is_silent = n->open_watch.has_value();
+        }
+    }
     // Discards the history up to now.
     void compact() { compacted_revision = m_revision; }
     void advance(std::chrono::milliseconds by) {
@@ -102,9 +110,9 @@
 
 private:
     struct node {
-        explicit node(instance i)
+        node(instance i, std::chrono::milliseconds bound)
             : self(std::move(i)), known({}, {}),
-              follow({"", self, departure_bound}, decode, known,
+              follow({"", self, bound}, decode, known,
                      [](const change&, effect) {}) {}
         instance self;
         fleet_state known;
@@ -113,6 +121,7 @@
         base::time_point watch_started_at{};
         base::time_point reported_at{};
         base::time_point next_return{};
+        bool watch_is_silent = false; // nothing comes on its connection
         std::uint64_t last_request = 0;
         // When its link has sent, or received, what is under way.
         base::time_point sent_at{};
@@ -214,6 +223,7 @@
     void begin(std::size_t i, const follower::watch& w) {
         ++m_members[i]->last_request;
         m_members[i]->open_watch = w;
+        m_members[i]->watch_is_silent = false;
         m_members[i]->watch_started_at = m_now;
         m_members[i]->reported_at = m_now;
         m_members[i]->next_return = m_now + 10ms;
@@ -299,19 +309,33 @@
             }
         }
     }
+    // When a call on a silent connection times out.
+    [[nodiscard]] bool is_timed_out(const node& n) const {
+        constexpr std::chrono::milliseconds call_timeout{1000};
+        const auto wait =
+            n.open_watch->request.max_report_interval.value_or(3000ms);
+        return m_now >= n.reported_at + wait + call_timeout;
+    }
     // Whether there is nothing to report and the watch may keep waiting.
     [[nodiscard]] bool is_idle(const node& n) const {
         const auto& w = n.open_watch->request;
+        const auto interval = w.max_report_interval.value_or(3000ms);
+        const auto wait = n.reported_at == n.watch_started_at
+                              ? w.first_report_within.value_or(interval)
+                              : interval;
         return w.from.value > m_revision && w.from.value > compacted_revision &&
-               m_now < n.reported_at + w.max_report_interval.value_or(3000ms);
+               m_now < n.reported_at + wait;
     }
     void return_watch(std::size_t i) {
         auto& n = *m_members[i];
-        if (stalled.contains(i) || (is_idle(n) && !cut_off.contains(i))) {
+        const bool is_closed =
+            cut_off.contains(i) || (n.watch_is_silent && is_timed_out(n));
+        if (stalled.contains(i) ||
+            ((n.watch_is_silent || is_idle(n)) && !is_closed)) {
             return;
         }
         ++store_calls;
-        if (cut_off.contains(i)) {
+        if (is_closed) {
             n.open_watch.reset();
             return run(i,
                        n.follow.on_watch_report(store::watch_closed{}, m_now));
--- a/pollenreel/http/client.cpp
+++ b/pollenreel/http/client.cpp
@@ -6,6 +6,14 @@
 
 namespace pollenreel::http {
 
+namespace {
+
+bool is_time_out(const base::result<response>& r) {
+    return !r && r.error().code == make_error_code(error::timed_out);
+}
+
+} // namespace
+
 client::client(boost::asio::io_context& io, limits l,
                std::optional<std::chrono::milliseconds> connect_timeout)
     : m_io(&io), m_limits(l), m_connect_timeout(connect_timeout) {}
@@ -48,6 +56,10 @@
                      }
                      if (a && on->reusable()) {
                          m_idle[to].push_back(on);
+                     } else if (is_time_out(a)) {
+                         // What silenced this connection may have silenced
+                         // those that are as old: each would cost a time-out.
+                         m_idle[to].clear();
                      }
                      done(std::move(a));
                  });
--- a/pollenreel/http/client.hpp
+++ b/pollenreel/http/client.hpp
@@ -1,5 +1,5 @@
 // Calls HTTP servers for control traffic: the platform, operators' tools,
-// tests. Keeps idle connections for reuse.
+// tests. Keeps idle connections for reuse, until a call on one times out.
 //
 //   http::client c(io);
 //   c.call(endpoint, {"GET", "/status"}, 1s, [](auto answer) { ... });
--- a/pollenreel/http/http_test.cpp
+++ b/pollenreel/http/http_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <set>
 #include <thread>
 
 namespace {
@@ -404,6 +405,55 @@
     }
 }
 
+// Idle connections that had fallen silent together cost one time-out each
+// before a new connection was tried.
+TEST_CASE("after a time-out a client uses no older idle connection") {
+    asio::io_context io;
+    http::server_options options;
+    options.listen = free_endpoint();
+    std::vector<http::responder> held;
+    std::set<std::uint16_t> silent;
+    std::set<std::uint16_t> seen;
+    http::server server(
+        io, options, [&](const http::request& r, http::responder answer) {
+            seen.insert(r.caller_port);
+            if (held.size() < 2 || silent.contains(r.caller_port)) {
+                return held.push_back(std::move(answer));
+            }
+            answer({200, {}, "new"});
+        });
+    REQUIRE(server.start().has_value());
+    http::client client(io);
+    int ended = 0;
+    std::optional<base::result<http::response>> last;
+    const auto call = [&](std::chrono::milliseconds timeout) {
+        client.call(options.listen, get("/"), timeout, [&](auto r) {
+            ++ended;
+            last = std::move(r);
+        });
+    };
+    const auto run_until = [&](auto reached) {
+        for (int i = 0; i < 1000 && !reached(); ++i) {
+            io.run_one_for(10ms);
+        }
+        REQUIRE(reached());
+    };
+    call(5s);
+    call(5s);
+    run_until([&] { return held.size() == 2; });
+    held[0]({200, {}, ""});
+    held[1]({200, {}, ""});
+    run_until([&] { return ended == 2; });
+    silent = seen;
+    call(100ms);
+    run_until([&] { return ended == 3; });
+    CHECK(last->error().code == make_error_code(http::error::timed_out));
+    call(5s);
+    run_until([&] { return ended == 4; });
+    REQUIRE(last->has_value());
+    CHECK(last->value().body == "new");
+}
+
 TEST_CASE("headers of one connection are not passed on") {
     http::headers h = {{"Connection", "keep-alive, X-Hop"}, {"x-hop", "1"},
                        {"Keep-Alive", "timeout=5"},         {"Host", "a"},
--- a/pollenreel/store/messages.hpp
+++ b/pollenreel/store/messages.hpp
@@ -118,6 +118,8 @@
     // For services that are polled: maximum time between two reports, even
     // without changes. If not set, the client chooses the interval.
     std::optional<std::chrono::milliseconds> max_report_interval{};
+    // For such services too: maximum time until the first report.
+    std::optional<std::chrono::milliseconds> first_report_within{};
 };
 
 // Reports of a watch, ordered by revision.
