Log restarts of targets and requests to cold ones

The log could not tell whether the requests that flood a restarted target come from instances that have not heard of the restart, from parts of the quota that add up to too much, or from attempts that wait for a connection.

target_restarted: what this instance sent in the last second, and its part of the quota, when it hears of a restart. cold_target_used: each request to a target that is known to be cold, with the quota and the time since the choice. No decision changes.

--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -118,7 +118,7 @@
     return std::get<base::time_point>(*m_timers.begin());
 }
 
-void core::on(const view_changed& e, base::time_point now, effects&) {
+void core::on(const view_changed& e, base::time_point now, effects& out) {
     const bool reconfigured = !m_view || m_view->routes != e.view->routes;
     m_view = e.view;
     ++m_view_number;
@@ -128,6 +128,7 @@
     if (reconfigured) {
         update_quotas(now);
     }
+    note_restarts(now, out);
     m_departing.update(m_view->targets, now);
     m_targets_by_service.clear();
     std::set<base::target_id> present;
@@ -421,15 +422,30 @@
     if (t.cold_until <= now && !s.recently_recovered(now)) {
         return false;
     }
-    if (!m_view->instances_known) {
-        return true;
+    return s.sent_last_second(now) >= cold_quota_at(t);
+}
+
+std::size_t core::cold_quota_at(const fleet::target& t) const {
+    if (!m_view->instances_known || !m_view->routes) {
+        return 0;
     }
     const auto* service = m_view->routes->find(t.service);
     const double rate = service == nullptr ? 0 : service->cold_rate;
     const double bound =
         rate * m_options.limits.cold_factor + m_options.limits.cold_slack;
-    return s.sent_last_second(now) >=
-           cold_quota(bound, t.id, m_options.self, m_view->instances);
+    return cold_quota(bound, t.id, m_options.self, m_view->instances);
+}
+
+void core::note_restarts(base::time_point now, effects& out) {
+    for (const auto& t : m_view->targets) {
+        const auto known = m_target_states.find(t.id);
+        if (known != m_target_states.end() &&
+            known->second.note_incarnation(t.incarnation)) {
+            out.emplace_back(target_restarted{
+                t.id, t.cold_until - now, known->second.sent_last_second(now),
+                cold_quota_at(t)});
+        }
+    }
 }
 
 void core::update_limit_share(const fleet::target& t, target_state& s,
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -199,10 +199,29 @@
     base::target_id target;
     std::optional<double> per_second;
 };
+// The store tells that a target's process was replaced. Until now this instance
+// sent to the new process what it would have sent to the former one.
+struct target_restarted {
+    base::target_id target;
+    base::duration cold_left{};
+    std::size_t sent_last_second = 0;
+    std::size_t cold_quota = 0;
+};
+// A request is sent to a target that is known to be cold.
+struct cold_target_used {
+    base::request_id request;
+    base::attempt_id attempt;
+    base::target_id target;
+    base::duration cold_left{};
+    std::size_t sent_last_second = 0; // this one included
+    std::size_t cold_quota = 0;
+    base::duration since_chosen{}; // connecting included
+};
 using effect =
     std::variant<open_attempt, request::send_attempt, request::abandon_attempt,
                  request::forward_response, refuse, attempt_failed,
-                 target_departing, target_backed_off, target_limit_changed>;
+                 target_departing, target_backed_off, target_limit_changed,
+                 target_restarted, cold_target_used>;
 using effects = std::vector<effect>;
 
 // Counts since the start of the process.
@@ -362,6 +381,11 @@
     [[nodiscard]] std::uint32_t connections_at(const fleet::target& t,
                                                const target_state& s,
                                                base::time_point now) const;
+    // Requests per second that this instance may send to the target while it is
+    // cold.
+    [[nodiscard]] std::size_t cold_quota_at(const fleet::target& t) const;
+    // Reports targets whose process differs from the one known before.
+    void note_restarts(base::time_point now, effects& out);
     [[nodiscard]] bool is_cold_quota_exhausted(const fleet::target& t,
                                                const target_state& s,
                                                base::time_point now) const;
@@ -380,6 +404,8 @@
     // Whether a request may still be sent to the target of a new attempt.
     [[nodiscard]] bool is_usable(const ongoing_attempt& a,
                                  base::time_point now) const;
+    void report_cold_use(const ongoing_attempt& a, base::attempt_id id,
+                         base::time_point now, effects& out) const;
     // Takes in what a response says about its target.
     void note_target(const ongoing_attempt& a, const request::response_info& r,
                      base::time_point now, effects& out);
--- a/pollenreel/dispatch/core_attempts.cpp
+++ b/pollenreel/dispatch/core_attempts.cpp
@@ -143,11 +143,28 @@
     }
     auto& pending = m_pending.at(found->second.request);
     ++pending.sent_attempts;
+    report_cold_use(found->second, e.attempt, now, out);
     out.emplace_back(request::send_attempt{
         e.attempt,
         std::chrono::duration_cast<milliseconds>(pending.expires_at - now)});
 }
 
+void core::report_cold_use(const ongoing_attempt& a, base::attempt_id id,
+                           base::time_point now, effects& out) const {
+    const auto& targets =
+        m_targets_by_service.at(m_pending.at(a.request).service);
+    const auto t =
+        std::find_if(targets.begin(), targets.end(),
+                     [&](const auto* one) { return one->id == a.target; });
+    if (t == targets.end() || (*t)->cold_until <= now) {
+        return;
+    }
+    out.emplace_back(
+        cold_target_used{a.request, id, a.target, (*t)->cold_until - now,
+                         m_target_states.at(a.target).sent_last_second(now),
+                         cold_quota_at(**t), now - a.started_at});
+}
+
 bool core::is_usable(const ongoing_attempt& a, base::time_point now) const {
     const auto& service = m_pending.at(a.request).service;
     const auto found = m_targets_by_service.find(service);
--- a/pollenreel/dispatch/target_state.hpp
+++ b/pollenreel/dispatch/target_state.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <utility>
 
 namespace pollenreel::dispatch {
 
@@ -67,6 +68,12 @@
     // says otherwise. True for ejected targets as well.
     [[nodiscard]] bool recently_recovered(base::time_point now) const;
 
+    // Returns whether another start of the target was known before.
+    bool note_incarnation(std::int64_t incarnation) {
+        const auto before = std::exchange(m_incarnation, incarnation);
+        return before && *before != incarnation;
+    }
+
     // That start of the target wants no requests until `until`.
     void back_off(std::int64_t incarnation, base::time_point until);
     // End of a back-off of that start of the target; nullopt if there is none.
@@ -108,6 +115,7 @@
 private:
     void record_failure(base::time_point now);
 
+    std::optional<std::int64_t> m_incarnation; // that the store named last
     std::uint32_t m_in_flight = 0;
     double m_load_of_others = 0; // requests of other instances, smoothed
     std::optional<base::time_point> m_load_reported_at;
--- a/pollenreel/entry/request_log.cpp
+++ b/pollenreel/entry/request_log.cpp
@@ -190,6 +190,32 @@
                                    : boost::json::value()}});
 }
 
+void request_log::target_restarted(const dispatch::target_restarted& e,
+                                   base::time_point now) {
+    if (m_trouble.allow(now)) {
+        m_log.info("target_restarted",
+                   {{"target", e.target.str()},
+                    {"cold_left_ms", rounded(ms(e.cold_left))},
+                    {"sent_last_second", e.sent_last_second},
+                    {"cold_quota", e.cold_quota}});
+    }
+}
+
+void request_log::cold_target_used(const request_name& r,
+                                   const dispatch::cold_target_used& e,
+                                   base::time_point now) {
+    if (m_trouble.allow(now)) {
+        m_log.info("cold_target_used",
+                   {{"request", r.caller_id},
+                    {"attempt", e.attempt.value()},
+                    {"target", e.target.str()},
+                    {"cold_left_ms", rounded(ms(e.cold_left))},
+                    {"sent_last_second", e.sent_last_second},
+                    {"cold_quota", e.cold_quota},
+                    {"since_chosen_ms", rounded(ms(e.since_chosen))}});
+    }
+}
+
 void request_log::caller_left(const request_name& r, base::duration waited,
                               base::time_point now) {
     if (begin_trouble(r, now)) {
--- a/pollenreel/entry/request_log.hpp
+++ b/pollenreel/entry/request_log.hpp
@@ -48,6 +48,11 @@
     void target_limit_changed(const request_name& r,
                               const dispatch::target_limit_changed& e,
                               base::time_point now);
+    void target_restarted(const dispatch::target_restarted& e,
+                          base::time_point now);
+    void cold_target_used(const request_name& r,
+                          const dispatch::cold_target_used& e,
+                          base::time_point now);
     // To be called about once a second: says what was held back.
     void report_held_back();
 
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -385,6 +385,15 @@
             {e.request, m_waiting.at(e.request).caller_id}, e, m_clock.now());
     }
 
+    void run(const dispatch::target_restarted& e) {
+        m_requests.target_restarted(e, m_clock.now());
+    }
+
+    void run(const dispatch::cold_target_used& e) {
+        m_requests.cold_target_used(
+            {e.request, m_waiting.at(e.request).caller_id}, e, m_clock.now());
+    }
+
     void run(const request::forward_response& e) {
         auto answer = m_protocol.to_caller(m_targets.take_response(e.attempt));
         const auto& w = m_waiting.at(e.request);
