Close suspect connections in the replay of restarted targets

The replay reused idle connections that egress::target_pool would have closed: those that were idle while an attempt on another one got no answer for 250 ms. Idle connections are reused for 6 s (60 in 100 of the time after which targets close them), not 10 s.

--- a/pollenreel/dispatch/cold_restart_test.cpp
+++ b/pollenreel/dispatch/cold_restart_test.cpp
@@ -40,8 +40,12 @@
 constexpr milliseconds latency{2};
 constexpr seconds mean_work{0.2}; // 0.1 to 0.3 s
 constexpr milliseconds connect_timeout{250};
-// A target closes a connection that has been idle for this long.
-constexpr milliseconds idle_lifetime{10'000};
+// A connection is reused if it has not been idle for longer, as in
+// request::connection_tracker with targets that close it after 10 s.
+constexpr milliseconds idle_lifetime{6000};
+// As in egress::target_pool: an attempt on a reused connection that got no
+// response for so long ends the other connections that were idle since then.
+constexpr milliseconds suspect_after{250};
 // Views reach the instances up to this long after the store changed.
 constexpr milliseconds longest_view_lag{1750};
 // The store removes a target after three heartbeats without one.
@@ -108,7 +112,9 @@
     base::attempt_id id;
     base::request_id request;
     std::size_t target = 0;
-    std::int64_t run = 0; // of the target, that accepted the connection
+    base::time_point opened_at;
+    std::int64_t run = 0;   // of the target, that accepted the connection
+    bool is_reused = false; // the connection
     bool sent = false;
     bool ended = false;
 };
@@ -346,6 +352,7 @@
         a->instance = i;
         a->id = e.open.attempt;
         a->request = e.open.request;
+        a->opened_at = m_now;
         a->target = std::stoul(e.open.target.id.str().substr(2));
         m_open[{i, a->id}] = a;
         auto& idle = m_idle[i][a->target];
@@ -355,6 +362,7 @@
         if (idle.empty()) {
             return after(latency, [this, a] { accept(a); });
         }
+        a->is_reused = true;
         a->run = idle.back().run;
         idle.pop_back();
         after(0ms, [this, a] { connected(a); });
@@ -441,10 +449,18 @@
 
     void lose(const attempt_ptr& a) {
         if (finish(a)) {
+            close_suspects(*a);
             pass(a->instance, request::attempt_lost{a->id});
         }
     }
 
+    void close_suspects(const simulated_attempt& a) {
+        if (a.is_reused && m_now - a.opened_at >= suspect_after) {
+            std::erase_if(m_idle[a.instance][a.target],
+                          [&](const auto& c) { return c.since < a.opened_at; });
+        }
+    }
+
     // Returns whether the attempt had not ended before.
     bool finish(const attempt_ptr& a) {
         m_open.erase({a->instance, a->id});
@@ -452,7 +468,9 @@
     }
 
     void run_effect(std::size_t i, const request::abandon_attempt& e) {
-        finish(m_open.at({i, e.attempt}));
+        const auto a = m_open.at({i, e.attempt});
+        finish(a);
+        close_suspects(*a);
     }
 
     void run_effect(std::size_t, const request::forward_response& e) {
