Let new instances in the replay of restarts know the others after 2 s

In the rows with instances that have just started, the instances never learned of each other, as they do 2 s after their first list (fleet::fleet_state). Each then has one connection to a target, and a second request at the same time goes elsewhere: that, and no restart, kept the load below the bound.

--- a/pollenreel/dispatch/cold_restart_test.cpp
+++ b/pollenreel/dispatch/cold_restart_test.cpp
@@ -49,6 +49,8 @@
 constexpr milliseconds suspect_after{250};
 // Views reach the instances up to this long after the store changed.
 constexpr milliseconds longest_view_lag{1750};
+// As in fleet::fleet_state: a new instance knows the others after this time.
+constexpr milliseconds restore_time{2000};
 // The store removes a target after three heartbeats without one.
 constexpr milliseconds removal_time{3000};
 // A restarted target has its usual load again this long after its cold time.
@@ -82,7 +84,7 @@
     known_red red = known_red::no;
     store views = store::tells;
     departure leaves = departure::ends;
-    // The instances do not know each other yet and have few connections.
+    // The instances start shortly before the targets leave.
     bool just_started = false;
 };
 
@@ -195,8 +197,8 @@
     explicit simulation(const row& r)
         : m_row(r), m_random(r.seed), m_work_random(r.seed + 1),
           m_view(make_view(r.instances)), m_targets(target_count),
-          m_idle(r.instances) {
-        m_view.instances_known = !r.just_started;
+          m_idle(r.instances), m_instances_known(!r.just_started),
+          m_heard(r.instances) {
         for (const auto& self : m_view.instances) {
             m_cores.emplace_back(
                 make_options(self.id, r.seed * 10'000 + m_cores.size()));
@@ -205,7 +207,7 @@
         }
         const auto shared = std::make_shared<fleet::view>(m_view);
         for (std::size_t i = 0; i < m_cores.size(); ++i) {
-            pass(i, view_changed{view_of(i, shared)});
+            hear(i, shared);
         }
     }
 
@@ -215,6 +217,14 @@
         m_resume_at = m_return_at + cold_time + resume_time;
         at(m_leave_at, [this] { leave(); });
         at(m_return_at, [this] { come_back(); });
+        if (m_row.just_started) {
+            after(restore_time, [this] {
+                m_instances_known = true;
+                for (std::size_t i = 0; i < m_cores.size(); ++i) {
+                    hear(i, m_heard[i]);
+                }
+            });
+        }
         arrive_later();
         while (!m_events.empty()) {
             m_now = m_events.begin()->first;
@@ -238,14 +248,16 @@
             mean * -std::log1p(-r.unit()));
     }
 
-    // What the instance knows when it has heard of `v`.
-    fleet::view_ptr view_of(std::size_t i, const fleet::view_ptr& v) const {
-        if (!m_row.just_started) {
-            return v;
+    // Passes what the instance knows once it has heard of `v`.
+    void hear(std::size_t i, const fleet::view_ptr& v) {
+        m_heard[i] = v;
+        if (m_instances_known) {
+            return pass(i, view_changed{v});
         }
-        auto known = std::make_shared<fleet::view>(*v);
+        const auto known = std::make_shared<fleet::view>(*v);
         known->instances = {v->instances[i]};
-        return known;
+        known->instances_known = false;
+        pass(i, view_changed{known});
     }
 
     [[nodiscard]] bool is_in_contact(std::size_t i) const {
@@ -258,9 +270,7 @@
         const auto shared = std::make_shared<fleet::view>(v);
         for (std::size_t i = 0; i < m_cores.size(); ++i) {
             if (is_in_contact(i)) {
-                after(m_view_lags[i], [this, i, shared] {
-                    pass(i, view_changed{view_of(i, shared)});
-                });
+                after(m_view_lags[i], [this, i, shared] { hear(i, shared); });
             }
         }
     }
@@ -509,6 +519,8 @@
     // By instance and target.
     std::vector<std::map<std::size_t, std::vector<idle_connection>>> m_idle;
     std::map<std::pair<std::size_t, base::attempt_id>, attempt_ptr> m_open;
+    bool m_instances_known;               // to the instances
+    std::vector<fleet::view_ptr> m_heard; // the last view, by instance
     std::set<base::request_id> m_counted; // those that count as arrived
     // Requests that their first target has not got yet, with that target.
     std::map<base::request_id, std::pair<std::size_t, replay_result::load*>>
@@ -532,6 +544,8 @@
     {"1,300 instances, 4 s", 1300, 4000ms, 12},
     {"61 instances, silent store", 61, 500ms, 13, known_red::flooded,
      store::silent},
+    {"61 instances, 4 s, silent store", 61, 4000ms, 30,
+     known_red::flooded_and_late, store::silent},
     {"1,300 instances, silent store", 1300, 500ms, 14, known_red::flooded,
      store::silent},
     {"61 instances, half out of contact", 61, 500ms, 15, known_red::flooded,
@@ -542,7 +556,7 @@
      store::tells, departure::dark},
     {"1,300 instances, dark", 1300, 1200ms, 18, known_red::flooded,
      store::tells, departure::dark},
-    {"61 instances, just started", 61, 500ms, 19, known_red::flooded_and_late,
+    {"61 instances, just started", 61, 500ms, 19, known_red::flooded,
      store::tells, departure::ends, true},
     {"1,300 instances, just started", 1300, 500ms, 20, known_red::flooded,
      store::tells, departure::ends, true},
