Take targets for cold after an evacuation whose beginning was missed

An instance that heard only of the end of an evacuation sent the targets of the domain a warm target's requests (FAILBACK). The removal now says by itself that the domain's targets may be cold.

The new test failed before: the change had no effect and the target was not cold.

--- a/pollenreel/fleet/fleet_state.cpp
+++ b/pollenreel/fleet/fleet_state.cpp
@@ -88,9 +88,8 @@
 
 effect fleet_state::apply_change(const evacuation_ended& c,
                                  base::time_point now) {
-    if (m_evacuated.erase(c.failure_domain) == 0) {
-        return effect::none;
-    }
+    // A relay may report the end of an evacuation without its beginning.
+    m_evacuated.erase(c.failure_domain);
     const auto until = now + m_options.report_lag;
     m_cold_unknown_until[c.failure_domain] = until;
     for (auto& [id, t] : m_targets) {
--- a/pollenreel/fleet/fleet_state_test.cpp
+++ b/pollenreel/fleet/fleet_state_test.cpp
@@ -193,6 +193,22 @@
     CHECK_FALSE(b.remove_expired(start_time + 3s));
 }
 
+// A relay passes on only the last change of a key. An instance that missed an
+// evacuation took the targets for warm when it heard of the end alone.
+TEST_CASE("targets may be cold after an evacuation that was missed") {
+    fleet_state b(regions, {});
+    b.apply(target_written{report("a")}, start_time);
+    b.apply(target_written{report("b", "erongo-a")}, start_time);
+    CHECK(b.apply(evacuation_ended{base::failure_domain_id("khomas-a")},
+                  start_time) == effect::changed);
+    const auto v = b.build_view();
+    CHECK(v->targets.at(0).cold_until == start_time + 3s);
+    CHECK(v->targets.at(1).cold_until <= start_time);
+    // The target's latest report may be from before the evacuation.
+    b.apply(target_written{report("a")}, start_time + 1s);
+    CHECK(cold_until(b) == start_time + 3s);
+}
+
 // The gap counted from the last report of the watch, although other calls had
 // been answered since: a short silence passed for an outage.
 TEST_CASE("any reply of the store ends a gap") {
