Take the instances for known only after a later contact with the store

An instance that was cut off from the store right after its first listing took the instances in it for all of them two seconds later, by time alone. A listing made just after the store lost its leases may name this instance only, and then it uses the whole of what all instances may: with two such instances beside 59 that know each other, cold_quota sums to 24 of an allowed 16.7 on every target (1,000 of 1,000 ids). Now the store, or a relay, must confirm the state as of two seconds after the listing.

The former test expected the instances to be known without any contact after the listing, which is this fault. Its cases stay, with the contact that a running watch brings; two cases without it failed before.

--- a/pollenreel/fleet/fleet_state.cpp
+++ b/pollenreel/fleet/fleet_state.cpp
@@ -221,9 +221,10 @@
     };
     const auto removed =
         std::erase_if(m_targets, is_due) + std::erase_if(m_instances, is_due);
+    // What was announced after the last contact is not known.
     const bool became_known =
         !m_instances_known && m_first_listed_at &&
-        now >= *m_first_listed_at + m_options.restore_time;
+        m_last_contact_at >= *m_first_listed_at + m_options.restore_time;
     m_instances_known = m_instances_known || became_known;
     return removed > 0 || became_known;
 }
--- a/pollenreel/fleet/fleet_state.hpp
+++ b/pollenreel/fleet/fleet_state.hpp
@@ -147,8 +147,8 @@
     std::set<base::failure_domain_id> m_listed_evacuations;
     bool m_listing = false;
     std::optional<base::time_point> m_first_listed_at;
-    // Set once instances that expired before the first listing had time to be
-    // announced again.
+    // Set once the store was in contact after instances that expired before the
+    // first listing had time to be announced again.
     bool m_instances_known = false;
     std::optional<base::time_point> m_contact_lost_at;
     base::time_point m_last_contact_at{};
--- a/pollenreel/fleet/fleet_state_test.cpp
+++ b/pollenreel/fleet/fleet_state_test.cpp
@@ -178,19 +178,38 @@
 }
 
 // An instance that had just started counted only those that were announced
-// again by then.
+// again by then. One that was cut off from the store right after its first
+// listing took the few in it for all, and sent a cold target what all together
+// may send (FAILBACK).
 TEST_CASE("the instances are known once all had time to be announced") {
-    fleet_state b(regions, {});
-    b.remove_expired(start_time);
-    CHECK_FALSE(b.build_view()->instances_known);
-    b.on_contact(start_time);
-    b.begin_listing();
-    b.end_listing(start_time);
-    CHECK_FALSE(b.remove_expired(start_time + 1900ms));
-    CHECK_FALSE(b.build_view()->instances_known);
-    CHECK(b.remove_expired(start_time + 2s));
-    CHECK(b.build_view()->instances_known);
-    CHECK_FALSE(b.remove_expired(start_time + 3s));
+    struct row {
+        const char* name;
+        std::vector<base::duration> contacts; // after the first listing
+        base::duration now;
+        bool known;
+    };
+    const row rows[] = {
+        {"the time has not passed", {1900ms}, 1900ms, false},
+        {"the store was in contact until then", {1s, 2s}, 2s, true},
+        {"a relay confirms what was known before then", {1900ms}, 3s, false},
+        {"no contact since the listing", {}, 1h, false},
+        {"contact returns later", {10s}, 10s, true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        fleet_state b(regions, {});
+        b.remove_expired(start_time);
+        CHECK_FALSE(b.build_view()->instances_known);
+        b.on_contact(start_time);
+        b.begin_listing();
+        b.end_listing(start_time);
+        for (const auto& at : r.contacts) {
+            b.on_contact(start_time + at);
+        }
+        CHECK(b.remove_expired(start_time + r.now) == r.known);
+        CHECK(b.build_view()->instances_known == r.known);
+        CHECK_FALSE(b.remove_expired(start_time + r.now));
+    }
 }
 
 // A relay passes on only the last change of a key. An instance that missed an
