Slow-start targets that recover, not only those that were added

In pollenreeld a target that was unreachable and answers again is to get its work little by little (slow_start_ms). The time was set only when a target newly accepted work in a later configuration; for a target that was there from the start it stayed zero, so that a target that crashed and came back with cold caches got its whole part at once. The tracker now knows the time of every target of the configuration.

--- a/pollenreel/request/core.cpp
+++ b/pollenreel/request/core.cpp
@@ -61,6 +61,9 @@
 void core::begin_slow_starts(const routing::snapshot& before,
                              base::time_point now) {
     for (const auto& [id, service] : m_snapshot->services) {
+        for (const auto& t : service.targets) {
+            m_targets.set_slow_start(t.id, service.slow_start);
+        }
         const auto old = before.services.find(id);
         if (old == before.services.end()) {
             // The service is new to this thread, not necessarily to the fleet.
@@ -73,7 +76,7 @@
                                 return o.id == t.id && o.accepts_new_work;
                             });
             if (t.accepts_new_work && !took_work) {
-                m_targets.begin_slow_start(t.id, service.slow_start, now);
+                m_targets.begin_slow_start(t.id, now);
             }
         }
     }
--- a/pollenreel/request/core_test.cpp
+++ b/pollenreel/request/core_test.cpp
@@ -120,3 +120,53 @@
                    start + 1min);
     CHECK(start_attempt(4, start + 1min).target.id == base::target_id("cat-1"));
 }
+
+// Only targets that were added later had a slow start after a failure: the
+// others got their whole work at once when they were back.
+TEST_CASE("a target that was there from the start warms up after a failure") {
+    auto s = std::make_shared<routing::snapshot>(*two_targets());
+    s->services.at(base::service_id("catalogue")).slow_start = 10s;
+    request::core c({.seed = 1});
+    (void)c.handle(request::snapshot_changed{s}, start);
+    std::uint64_t last = 0;
+    const auto start_attempt = [&](base::time_point now) {
+        const auto out =
+            c.handle(request::incoming_request{base::request_id(++last),
+                                               base::service_id("catalogue"),
+                                               "GET",
+                                               {},
+                                               {}},
+                     now);
+        return std::get<request::open_attempt>(out.at(0));
+    };
+    const auto answer = [&](base::attempt_id attempt, base::time_point now) {
+        (void)c.handle(request::attempt_connected{attempt}, now);
+        (void)c.handle(request::attempt_answered{attempt, {200, false, true}},
+                       now);
+    };
+    // Requests, one after the other, that go to the target in 400.
+    const auto count_at = [&](const base::target_id& target,
+                              base::time_point now) {
+        int count = 0;
+        for (int i = 0; i < 400; ++i) {
+            const auto one = start_attempt(now);
+            count += one.target.id == target ? 1 : 0;
+            answer(one.attempt, now);
+        }
+        return count;
+    };
+    const auto failed = start_attempt(start);
+    const auto repeat =
+        c.handle(request::attempt_connect_failed{failed.attempt}, start);
+    answer(std::get<request::open_attempt>(repeat.at(0)).attempt, start);
+    // Until the probe that finds the target back.
+    auto now = start + 1min;
+    for (int i = 0; i < 4; ++i) {
+        answer(start_attempt(now).attempt, now);
+    }
+    const auto cold = count_at(failed.target.id, now);
+    const auto warm = count_at(failed.target.id, now + 10s);
+    CHECK(cold > 10);
+    CHECK(cold < 100);
+    CHECK(warm > 190);
+}
--- a/pollenreel/request/target_tracker.cpp
+++ b/pollenreel/request/target_tracker.cpp
@@ -116,22 +116,25 @@
     e->shedding_until = now + shed_hot_time;
 }
 
+void target_tracker::set_slow_start(const base::target_id& target,
+                                    base::duration duration) {
+    m_entries[target].warmup_time = duration;
+}
+
 void target_tracker::begin_slow_start(const base::target_id& target,
-                                      base::duration duration,
                                       base::time_point now) {
-    auto& e = m_entries[target];
-    e.warmup_start = now;
-    e.warmup_time = duration;
+    m_entries[target].warmup_start = now;
 }
 
 double target_tracker::warmup_fraction(const base::target_id& target,
                                        base::time_point now) const {
     const auto* e = find(target);
-    if (e == nullptr || now - e->warmup_start >= e->warmup_time) {
+    if (e == nullptr || !e->warmup_start ||
+        now - *e->warmup_start >= e->warmup_time) {
         return 1;
     }
     return std::max(min_warmup_fraction,
-                    ratio_of(now - e->warmup_start, e->warmup_time));
+                    ratio_of(now - *e->warmup_start, e->warmup_time));
 }
 
 const target_tracker::entry*
--- a/pollenreel/request/target_tracker.hpp
+++ b/pollenreel/request/target_tracker.hpp
@@ -14,6 +14,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace pollenreel::request {
@@ -33,9 +34,11 @@
     // The target refused the attempt for lack of capacity.
     void on_shed(base::attempt_id attempt, base::time_point now);
 
+    // How long the target warms up after it newly accepts work or was
+    // unreachable; none unless this is called.
+    void set_slow_start(const base::target_id& target, base::duration duration);
     // Starts the warm-up of a target that newly accepts work.
-    void begin_slow_start(const base::target_id& target,
-                          base::duration duration, base::time_point now);
+    void begin_slow_start(const base::target_id& target, base::time_point now);
     // Fraction of its normal work that the target receives, in (0, 1].
     [[nodiscard]] double warmup_fraction(const base::target_id& target,
                                          base::time_point now) const;
@@ -72,7 +75,7 @@
         base::duration probe_interval{};
         base::time_point next_probe; // valid while hot
         base::time_point shedding_until;
-        base::time_point warmup_start;
+        std::optional<base::time_point> warmup_start;
         base::duration warmup_time{};
         bool unreachable = false; // the latest attempt failed
     };
--- a/pollenreel/request/target_tracker_test.cpp
+++ b/pollenreel/request/target_tracker_test.cpp
@@ -109,7 +109,9 @@
 TEST_CASE("a target that is added or recovers warms up") {
     tracker_fixture f;
     CHECK(f.tracker.warmup_fraction(target, start) == 1);
-    f.tracker.begin_slow_start(target, 10s, start);
+    f.tracker.set_slow_start(target, 10s);
+    CHECK(f.tracker.warmup_fraction(target, start) == 1);
+    f.tracker.begin_slow_start(target, start);
     CHECK(f.tracker.warmup_fraction(target, start) == doctest::Approx(0.1));
     CHECK(f.tracker.warmup_fraction(target, start + 5s) ==
           doctest::Approx(0.5));
