Count instances that left the list towards cold quotas for a minute

Callers saw restarted targets flooded while the store turned some instances away or was silent: these lost their entries and went on sending. The others dropped them at once, and each then took more of a cold target's rate.

The class is that of the instances that expired in an outage: a share computed from a list that is known to be incomplete. An instance now counts for a minute after it left the list. Cold targets get less for that minute after instances are gone for good; warm ones are not concerned.

--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -65,6 +65,10 @@
                     std::chrono::duration_cast<milliseconds>(wait));
 }
 
+// An instance that the store turns away is dropped from the list and goes on
+// sending. It counts for so long, longer than most outages last.
+constexpr std::chrono::seconds unlisted_instance_lifetime{60};
+
 // Instances that are not listed yet may admit requests too: a list that is not
 // known to be complete counts as at least this many.
 constexpr std::size_t min_unknown_instances = 64;
@@ -120,6 +124,7 @@
 
 void core::on(const view_changed& e, base::time_point now, effects& out) {
     const bool reconfigured = !m_view || m_view->routes != e.view->routes;
+    note_instances(*e.view, now);
     m_view = e.view;
     ++m_view_number;
     if (m_gate) {
@@ -433,7 +438,29 @@
     const double rate = service == nullptr ? 0 : service->cold_rate;
     const double bound =
         rate * m_options.limits.cold_factor + m_options.limits.cold_slack;
-    return cold_quota(bound, t.id, m_options.self, m_view->instances);
+    return cold_quota(bound, t.id, m_options.self, m_sending_instances);
+}
+
+void core::note_instances(const fleet::view& next, base::time_point now) {
+    const bool is_same = m_view && m_view->instances == next.instances;
+    if (is_same && m_unlisted_instances.empty()) {
+        return;
+    }
+    if (m_view && !is_same) {
+        for (const auto& i : m_view->instances) {
+            m_unlisted_instances.try_emplace(i.id, i, now);
+        }
+    }
+    for (const auto& i : next.instances) {
+        m_unlisted_instances.erase(i.id);
+    }
+    std::erase_if(m_unlisted_instances, [&](const auto& one) {
+        return now - one.second.second >= unlisted_instance_lifetime;
+    });
+    m_sending_instances = next.instances;
+    for (const auto& [id, one] : m_unlisted_instances) {
+        m_sending_instances.push_back(one.first);
+    }
 }
 
 void core::note_restarts(base::time_point now, effects& out) {
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -398,6 +398,9 @@
     // Requests per second that this instance may send to the target while it is
     // cold.
     [[nodiscard]] std::size_t cold_quota_at(const fleet::target& t) const;
+    // Takes in which instances `next` lists and the last view did not, and vice
+    // versa.
+    void note_instances(const fleet::view& next, base::time_point now);
     // Reports targets whose process differs from the one known before.
     void note_restarts(base::time_point now, effects& out);
     // Whether the target is cold and `sent` requests of the last second use up
@@ -492,6 +495,11 @@
     options m_options;
     base::random m_random;
     fleet::view_ptr m_view;
+    // Instances that are missing from the list, with when that was noticed.
+    std::map<base::instance_id, std::pair<fleet::instance, base::time_point>>
+        m_unlisted_instances;
+    // Those that may send to targets: the listed ones and those above.
+    std::vector<fleet::instance> m_sending_instances;
     std::uint64_t m_view_number = 0;
     std::optional<base::time_point> m_stop_at;
     bool m_last_answer_late = false;
--- a/pollenreel/dispatch/restarted_target_test.cpp
+++ b/pollenreel/dispatch/restarted_target_test.cpp
@@ -117,3 +117,42 @@
     failed.show_incarnation(2);
     CHECK(find<open_attempt>(failed.arrive()) != nullptr);
 }
+
+// While the store turned instances away they went on sending. Those that it
+// still served dropped them from the list, and each took all for itself.
+TEST_CASE("instances that leave the list keep their part of the cold rate") {
+    struct row {
+        const char* name;
+        base::duration missing;
+        std::size_t sent; // to a cold target in a second
+    };
+    const row rows[] = {
+        {"still listed", 0s, 1},
+        {"just gone", 100ms, 1},
+        {"gone for as long as an outage lasts", 30s, 1},
+        {"gone for good", 61s, 8},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        constexpr std::size_t others = 7;
+        driver d(true, 1);
+        const auto show = [&](std::size_t listed) {
+            d.publish(true, 1, d.now + 100s, 1, true, listed);
+        };
+        show(others);
+        if (r.missing > 0s) {
+            show(0);
+            d.now += r.missing;
+            show(0);
+        }
+        std::size_t sent = 0;
+        for (int i = 0; i < 20; ++i) {
+            const auto out = d.arrive();
+            if (const auto* open = find<open_attempt>(out)) {
+                d.handle(request::attempt_connected{open->open.attempt});
+                ++sent;
+            }
+        }
+        CHECK(sent == r.sent);
+    }
+}
