--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -426,7 +426,7 @@
                                    base::time_point now) const {
     const bool is_cold =
         s.cold_until(t.cold_until, m_options.max_report_age) > now ||
-        (check_path_of(t.service).empty() && s.recently_recovered(now));
+        (s.recently_recovered(now) && check_path_of(t.service).empty());
     return is_cold && sent >= cold_quota_at(t);
 }
 
