--- a/pollenreel/fleet/fleet_state_test.cpp
+++ b/pollenreel/fleet/fleet_state_test.cpp
@@ -262,6 +262,38 @@
     }
 }
 
+// A suspended process heard of the removals of an outage before it noticed the
+// gap, and took the instances that were left for all of them.
+// Known red (KNOWN-RED.txt).
+TEST_CASE("a gap that no failed call revealed counts as an outage" *
+          doctest::may_fail()) {
+    struct row {
+        const char* name;
+        base::duration suspended;
+        bool present;
+    };
+    const row rows[] = {
+        {"a gap that ends no lease", 2600ms, false},
+        {"a long one", 10s, true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        fleet_state b(regions, {});
+        CHECK_FALSE(b.is_restoring(start_time));
+        b.on_contact(start_time); // the first one ends no gap
+        CHECK_FALSE(b.is_restoring(start_time));
+        instance other;
+        other.id = base::instance_id("front-2");
+        b.apply(instance_written{other}, start_time);
+        const auto now = start_time + r.suspended;
+        b.on_contact(now);
+        b.apply(instance_removed{other.id}, now);
+        CHECK((b.instances().size() == 1) == r.present);
+        b.remove_expired(now + 2s);
+        CHECK(b.instances().empty());
+    }
+}
+
 // An instance that was cut off from the store found a departed target missing
 // from its first listing and kept it too long: the restore time counts from
 // the store's return, not from the listing (fleetbench hunt: ageeb-tickets,
