--- a/pollenreel/fleet/fleet_state.cpp
+++ b/pollenreel/fleet/fleet_state.cpp
@@ -88,9 +88,8 @@
 
 effect fleet_state::apply_change(const evacuation_ended& c,
                                  base::time_point now) {
-    if (m_evacuated.erase(c.failure_domain) == 0) {
-        return effect::none;
-    }
+    // A relay may report the end of an evacuation without its beginning.
+    m_evacuated.erase(c.failure_domain);
     const auto until = now + m_options.report_lag;
     m_cold_unknown_until[c.failure_domain] = until;
     for (auto& [id, t] : m_targets) {
@@ -222,9 +221,10 @@
     };
     const auto removed =
         std::erase_if(m_targets, is_due) + std::erase_if(m_instances, is_due);
+    // What was announced after the last contact is not known.
     const bool became_known =
         !m_instances_known && m_first_listed_at &&
-        now >= *m_first_listed_at + m_options.restore_time;
+        m_last_contact_at >= *m_first_listed_at + m_options.restore_time;
     m_instances_known = m_instances_known || became_known;
     return removed > 0 || became_known;
 }
