Let the check of a new connection wait for a slot

Cause: a target reads the first request of a new connection when it has a slot for it, so that the check waits as the request would, and it had the 250 ms of a connect. Each time-out cost the wait and another connection.

The check has 600 ms now. Its test, a target that answers after 300 ms, failed before: 'connect failed'.

--- a/pollenreel/egress/target_pool.cpp
+++ b/pollenreel/egress/target_pool.cpp
@@ -58,10 +58,11 @@
     connect(id, {o.target, o.check_path});
 }
 
-milliseconds target_pool::connect_timeout(const exchange& e) const {
+milliseconds target_pool::time_for(const exchange& e,
+                                   milliseconds limit) const {
     const auto remaining =
         std::chrono::duration_cast<milliseconds>(e.deadline - m_clock.now());
-    return std::clamp(remaining, milliseconds(1), m_options.connect_timeout);
+    return std::clamp(remaining, milliseconds(1), limit);
 }
 
 void target_pool::connect(base::attempt_id attempt, pending_check c) {
@@ -73,7 +74,7 @@
     e.connection = m_last_connection;
     const auto to = c.target.address;
     connection->connect(
-        to, connect_timeout(e),
+        to, time_for(e, m_options.connect_timeout),
         [this, attempt, c = std::move(c)](const base::result<void>& connected) {
             if (!connected) {
                 return report_connect_failed(attempt);
@@ -93,7 +94,8 @@
     terms.budget = m_budget;
     m_connections.at(e.connection)
         ->exchange(
-            std::move(r), m_options.response_limits, connect_timeout(e),
+            std::move(r), m_options.response_limits,
+            time_for(e, m_options.check_timeout),
             [this, attempt,
              c = std::move(c)](const base::result<http::response>& answer) {
                 on_checked(attempt, c, answer);
--- a/pollenreel/egress/target_pool.hpp
+++ b/pollenreel/egress/target_pool.hpp
@@ -28,6 +28,9 @@
     // Even between the most distant hosts of a fleet, connecting takes only
     // tens of milliseconds.
     std::chrono::milliseconds connect_timeout{250};
+    // A new connection to a busy target waits for one of its slots before its
+    // first request is read, as long as that would take without a check.
+    std::chrono::milliseconds check_timeout{600};
     // Accepts responses whose end is marked by the end of the connection.
     bool allow_close_delimited = false;
     // Drops a response to another request and waits for the next one. If false,
@@ -120,8 +123,9 @@
     void on_checked(base::attempt_id attempt, pending_check check,
                     const base::result<http::response>& answer);
     void report_connect_failed(base::attempt_id attempt);
+    // `limit`, or less if the request expires before.
     [[nodiscard]] std::chrono::milliseconds
-    connect_timeout(const exchange& e) const;
+    time_for(const exchange& e, std::chrono::milliseconds limit) const;
 
     // Returns the connection of a completed exchange to the pool, or closes it.
     void release(const exchange& e, const request::response_info& info);
--- a/pollenreel/egress/target_pool_test.cpp
+++ b/pollenreel/egress/target_pool_test.cpp
@@ -4,6 +4,7 @@
 #include "testing/stalled_path.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 #include <fmt/format.h>
@@ -66,6 +67,13 @@
         }
         return m_last_event.at(open.attempt);
     }
+    // The target answers nothing until it has a slot.
+    void end_silence_after(std::chrono::milliseconds t) {
+        is_silent = true;
+        m_slot_free.expires_after(t);
+        m_slot_free.async_wait([this](const auto&) { end_silence(); });
+    }
+
     // Opens and sends one attempt without waiting for its response.
     base::attempt_id send(bool idempotent, const std::string& request = "r-1",
                           std::uint32_t max_connections = 8,
@@ -215,6 +223,7 @@
 
     base::endpoint m_address;
     asio::io_context m_io{1};
+    asio::steady_timer m_slot_free{m_io};
     std::vector<http::responder> m_pending_responses;
     http::server m_target;
     std::map<base::attempt_id, std::string> m_last_event;
@@ -391,6 +400,16 @@
     }
 }
 
+// A busy target reads the first request of a new connection when it has a slot.
+// With the time-out of a connect, the check failed and the wait began anew at
+// another target.
+TEST_CASE("a check waits for a slot of a busy target") {
+    pool_fixture f;
+    f.end_silence_after(300ms);
+    CHECK(f.open_checked() == "checked");
+    CHECK(f.checks == 1);
+}
+
 // A connection that the target closed while it was idle told nothing, so that
 // the next ones were reused for as long.
 TEST_CASE("a connection found closed lowers the idle time that is proven") {
