Reuse connections for as long as targets announce, less 2 s

Each new connection to a target costs callers a connect and a check.

Connections of targets that announce how long they keep them are reused until 2 s before, or for three fifths of a shorter time; target_idle holds for the others. The test's row with 10 s announced fails if the announcement is ignored.

--- a/pollenreel/entry/settings.cpp
+++ b/pollenreel/entry/settings.cpp
@@ -256,7 +256,8 @@
             return store_number(s.max_callers, v, 16U, 1'000'000U);
         }},
     row{"limits.target_idle", "100ms-600s", "5s",
-        "an idle connection to a target is not used again after this",
+        "an idle connection to a target is not used again after this; of a "
+        "target that announces how long it keeps one, until 2 s before",
         [](settings& s, text v) {
             return store_duration(s.target_idle, v, 100ms, 600s);
         }},
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -39,6 +39,9 @@
 constexpr std::size_t memory_per_response_budget = 8;
 constexpr std::uint32_t answer_header_bytes = 64 * 1024;
 constexpr std::uint64_t answer_body_bytes = 64ULL * 1024 * 1024;
+// Longer than most targets keep a connection, so that what they announce
+// decides.
+constexpr milliseconds max_announced_idle{20'000};
 constexpr http::limits small_messages{8 * 1024, 8ULL * 1024};
 
 http::server_options listener(const base::endpoint& at, std::size_t most,
@@ -70,6 +73,7 @@
     egress::target_pool_options o;
     o.response_limits = {answer_header_bytes, answer_body_bytes};
     o.connections.max_idle = s.target_idle;
+    o.connections.max_announced_idle = max_announced_idle;
     o.connections.max_proven_idle = s.proven_idle;
     o.allow_close_delimited = true;
     o.skip_mismatched = true;
--- a/pollenreel/request/connection_tracker.cpp
+++ b/pollenreel/request/connection_tracker.cpp
@@ -6,10 +6,17 @@
 
 namespace {
 
-// Percentage of the idle timeout announced by a target within which its
-// connection is reused: the target's timer starts when it sends the response,
-// and its close takes time to arrive.
-constexpr int keep_alive_percent = 60;
+// Part of the idle timeout announced by a target in which its connection is not
+// reused any more: the target's timer starts when it sends the response, and
+// its close takes time to arrive.
+constexpr int keep_alive_margin_percent = 40;
+constexpr std::chrono::milliseconds max_keep_alive_margin{2000};
+
+// Time within which a connection is reused.
+std::chrono::milliseconds reuse_time(std::chrono::milliseconds keep_alive) {
+    return keep_alive - std::min(keep_alive * keep_alive_margin_percent / 100,
+                                 max_keep_alive_margin);
+}
 
 } // namespace
 
@@ -57,7 +64,8 @@
     c.max_idle = m_limits.max_idle;
     if (keep_alive) {
         c.max_idle =
-            std::min(c.max_idle, *keep_alive * keep_alive_percent / 100);
+            std::min(std::max(m_limits.max_idle, m_limits.max_announced_idle),
+                     reuse_time(*keep_alive));
     }
     c.idle_since = now;
     m_targets[c.target].idle.push_back(id);
--- a/pollenreel/request/connection_tracker.hpp
+++ b/pollenreel/request/connection_tracker.hpp
@@ -37,6 +37,9 @@
     // responses on reused connections show that to be harmless. Whether a
     // request may be repeated does not depend on it.
     std::chrono::milliseconds max_proven_idle{0};
+    // `max_idle` for targets that announce for how long they keep connections,
+    // if longer.
+    std::chrono::milliseconds max_announced_idle{0};
 };
 
 // Not thread-safe.
--- a/pollenreel/request/connection_tracker_test.cpp
+++ b/pollenreel/request/connection_tracker_test.cpp
@@ -87,6 +87,39 @@
           std::vector<connection_id>{connection_id(1)});
 }
 
+// Load pattern: requests of an instance to one target come about ten seconds
+// apart. With the limit for targets that announce nothing most of them opened a
+// connection.
+TEST_CASE("idle connections are reused for as long as the target announces") {
+    struct row {
+        const char* name;
+        std::chrono::milliseconds max_announced;
+        std::optional<std::chrono::milliseconds> keep_alive;
+        base::duration later;
+        bool reused;
+    };
+    const row rows[] = {
+        {"nothing announced", 20s, {}, 5s, true},
+        {"nothing announced, too late", 20s, {}, 5001ms, false},
+        {"10 s announced", 20s, 10s, 8s, true},
+        {"10 s announced, too late", 20s, 10s, 8001ms, false},
+        {"1 s announced", 20s, 1s, 600ms, true},
+        {"1 s announced, too late", 20s, 1s, 601ms, false},
+        {"beyond the longest", 20s, 60s, 20'001ms, false},
+        {"not followed beyond the limit", 0s, 10s, 5001ms, false},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        request::connection_tracker tracker(
+            {.max_idle = 5s, .max_announced_idle = r.max_announced});
+        tracker.on_opened(connection_id(1), target);
+        tracker.on_answered(connection_id(1), start, r.keep_alive);
+        CHECK(tracker.find_expired(start + r.later).empty() == r.reused);
+        CHECK(tracker.acquire_idle(target, true, start + r.later).has_value() ==
+              r.reused);
+    }
+}
+
 // Load pattern: requests of an instance to one target come a few seconds apart.
 // With a fixed limit of 1 s most non-idempotent ones opened a connection; on
 // the heaviest days there were 62,000 new connections for 90,000 requests.
