Spare distant targets' callers the round trip of the check

Cause: a target in another region is connected to in one round trip and checked in another.

An instance near the target checks it while the connection is being opened, and one check serves all who ask within 100 ms; without its answer the target is checked as before.

Evidence: cold_restart_test has rows with distant targets at twice the load.

--- /dev/null
+++ b/pollenreel/dispatch/check_choice_test.cpp
@@ -0,0 +1,153 @@
+// How a connection is checked that is opened for an attempt.
+#include "pollenreel/dispatch/core_test_support.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace pollenreel;
+using namespace pollenreel::dispatch;
+using namespace pollenreel::dispatch::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+// One target, in the region of the instance or in another one, with four
+// instances beside it.
+class check_driver {
+public:
+    explicit check_driver(bool distant)
+        : m_distant(distant), m_core(driver::make_options()) {
+        show_view();
+    }
+
+    void show_view(base::duration age = 0s, bool cold = false,
+                   bool instances_known = true) {
+        auto v = std::make_shared<fleet::view>();
+        routes::configuration c;
+        c.version = base::config_version(1);
+        routes::route r;
+        r.id = "r";
+        r.host = "shop.example";
+        r.path_prefix = "/";
+        r.idempotent = true;
+        r.timeout = 1200ms;
+        r.target_latency = 400ms;
+        r.max_attempts = 2;
+        r.services = {{base::service_id("s"), 1}};
+        c.routes.push_back(r);
+        // With this rate the part of one second is above one.
+        c.services.push_back({base::service_id("s"), 100, 3s, 1000, "/health"});
+        v->routes = std::make_shared<routes::route_table>(std::move(c));
+        fleet::target t;
+        t.id = base::target_id("t-1");
+        t.service = base::service_id("s");
+        t.region = base::region_id(m_distant ? "erongo" : "khomas");
+        t.address = {"10.0.0.1", 80};
+        t.slots = 4;
+        t.incarnation = 1;
+        t.cold_until = cold ? now + 3s : base::time_point();
+        v->targets.push_back(t);
+        for (int n = 1; n <= 5; ++n) {
+            fleet::instance one;
+            one.id = base::instance_id("i-" + std::to_string(n));
+            one.region = base::region_id(n == 1 ? "khomas" : "erongo");
+            one.relay_endpoint =
+                base::endpoint{"10.0.1.1", static_cast<std::uint16_t>(n)};
+            v->instances.push_back(one);
+        }
+        v->instances_known = instances_known;
+        v->confirmed_at = now - age;
+        (void)m_core.handle(view_changed{v}, now);
+    }
+
+    request::open_attempt open() {
+        m_last = m_last.next();
+        const auto out = m_core.handle(
+            arrival{m_last, "shop.example", "/x", "", 1000ms}, now);
+        const auto* opened = find<open_attempt>(out);
+        REQUIRE(opened != nullptr);
+        return opened->open;
+    }
+    void handle(const event& e) { (void)m_core.handle(e, now); }
+    [[nodiscard]] const core& tested_core() const { return m_core; }
+
+    base::time_point now{std::chrono::hours(1)};
+
+private:
+    bool m_distant;
+    core m_core;
+    base::request_id m_last;
+};
+
+enum class check { none, own, by_peers };
+
+check kind_of(const request::open_attempt& o) {
+    if (o.check_path.empty()) {
+        return check::none;
+    }
+    return o.check_peers.empty() ? check::own : check::by_peers;
+}
+
+} // namespace
+
+// Guards against unchecked connections to a target that may have restarted.
+TEST_CASE("connections are used unchecked only without a doubt") {
+    struct row {
+        const char* name;
+        bool distant;
+        void (*before)(check_driver&);
+        check expected;
+    };
+    const row rows[] = {
+        {"a near target", false, [](check_driver&) {}, check::own},
+        {"a distant target", true, [](check_driver&) {}, check::none},
+        {"the view is old", true, [](check_driver& d) { d.show_view(2501ms); },
+         check::by_peers},
+        {"the target is cold", true,
+         [](check_driver& d) { d.show_view(0s, true); }, check::by_peers},
+        {"the instances are unknown", true,
+         [](check_driver& d) { d.show_view(0s, false, false); },
+         check::by_peers},
+        {"it did not accept a connection", true,
+         [](check_driver& d) {
+             d.handle(request::attempt_connect_failed{d.open().attempt});
+         },
+         check::by_peers},
+        {"a connection was used unchecked just before", true,
+         [](check_driver& d) {
+             d.handle(request::attempt_connected{d.open().attempt, {}, true});
+         },
+         check::by_peers},
+        {"an open connection was used just before", true,
+         [](check_driver& d) {
+             d.handle(request::attempt_connected{d.open().attempt});
+         },
+         check::none},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        check_driver d(r.distant);
+        r.before(d);
+        CHECK((kind_of(d.open()) == r.expected));
+    }
+}
+
+TEST_CASE("targets are checked for peers only where they are known") {
+    struct row {
+        const char* name;
+        request::chosen_target target;
+        std::optional<std::string> path;
+    };
+    const row rows[] = {
+        {"known", {base::target_id("t-1"), {"10.0.0.1", 80}}, "/health"},
+        {"another address", {base::target_id("t-1"), {"10.0.0.2", 80}}, {}},
+        {"another target", {base::target_id("t-0"), {"10.0.0.1", 80}}, {}},
+        {"none", {}, {}},
+    };
+    const check_driver d(false);
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        CHECK(d.tested_core().check_path_for(r.target) == r.path);
+    }
+}
--- a/pollenreel/dispatch/cold_restart_test.cpp
+++ b/pollenreel/dispatch/cold_restart_test.cpp
@@ -49,6 +49,9 @@
 constexpr milliseconds suspect_after{250};
 // Views reach the instances up to this long after the store changed.
 constexpr milliseconds longest_view_lag{1750};
+// A distant target that restarts is met by instances that have heard nothing
+// of the store for less than options::max_report_age.
+constexpr milliseconds confirm_period{1000};
 // As in fleet::fleet_state: a new instance knows the others after this time.
 constexpr milliseconds restore_time{2000};
 // The store removes a target after three heartbeats without one.
@@ -82,6 +85,9 @@
     departure leaves = departure::ends;
     // The instances start shortly before the targets leave.
     bool just_started = false;
+    // Instances and targets are in different regions.
+    bool distant = false;
+    double load = 1; // of the usual rate of requests
 };
 
 struct replay_result {
@@ -160,14 +166,14 @@
     return std::make_shared<routes::route_table>(std::move(c));
 }
 
-fleet::view make_view(std::size_t instances) {
+fleet::view make_view(std::size_t instances, bool distant = false) {
     fleet::view v;
     v.routes = make_routes();
     for (std::size_t t = 0; t < target_count; ++t) {
         fleet::target one;
         one.id = base::target_id(numbered("t-", t));
         one.service = base::service_id("s");
-        one.region = base::region_id("khomas");
+        one.region = base::region_id(distant ? "erongo" : "khomas");
         one.slots = 9;
         one.incarnation = 1;
         v.targets.push_back(one);
@@ -194,7 +200,7 @@
 public:
     explicit simulation(const row& r)
         : m_row(r), m_random(r.seed), m_work_random(r.seed + 1),
-          m_view(make_view(r.instances)), m_targets(target_count),
+          m_view(make_view(r.instances, r.distant)), m_targets(target_count),
           m_idle(r.instances), m_instances_known(!r.just_started),
           m_heard(r.instances) {
         for (const auto& self : m_view.instances) {
@@ -223,6 +229,7 @@
                 }
             });
         }
+        confirm_later();
         arrive_later();
         while (!m_events.empty()) {
             m_now = m_events.begin()->first;
@@ -249,15 +256,29 @@
     // Passes what the instance knows once it has heard of `v`.
     void hear(std::size_t i, const fleet::view_ptr& v) {
         m_heard[i] = v;
-        if (m_instances_known) {
-            return pass(i, view_changed{v});
-        }
         const auto known = std::make_shared<fleet::view>(*v);
-        known->instances = {v->instances[i]};
-        known->instances_known = false;
+        known->confirmed_at = m_now;
+        if (!m_instances_known) {
+            known->instances = {v->instances[i]};
+            known->instances_known = false;
+        }
         pass(i, view_changed{known});
     }
 
+    // Instances in contact with the store know that their view is fresh.
+    void confirm_later() {
+        after(confirm_period, [this] {
+            for (std::size_t i = 0; i < m_cores.size(); ++i) {
+                if (is_in_contact(i)) {
+                    hear(i, m_heard[i]);
+                }
+            }
+            if (m_now < m_resume_at + load_window) {
+                confirm_later();
+            }
+        });
+    }
+
     [[nodiscard]] bool is_in_contact(std::size_t i) const {
         return m_row.views == store::tells ||
                (m_row.views == store::half_silent && i % 2 == 0);
@@ -323,22 +344,24 @@
     }
 
     void arrive_later() {
-        after(exponential(m_random, seconds(1 / requests_per_s)), [this] {
-            if (m_now >= m_resume_at + load_window) {
-                return;
-            }
-            const auto i = m_random.below(m_cores.size());
-            const auto object =
-                numbered("object-", m_random.below(object_count));
-            m_last = m_last.next();
-            if (m_now >= m_leave_at) {
-                ++m_result.arrived;
-                m_counted.insert(m_last);
-            }
-            note_offered(first_target(object));
-            pass(i, arrival{m_last, "shop.example", "/x", object, 3000ms});
-            arrive_later();
-        });
+        after(
+            exponential(m_random, seconds(1 / (requests_per_s * m_row.load))),
+            [this] {
+                if (m_now >= m_resume_at + load_window) {
+                    return;
+                }
+                const auto i = m_random.below(m_cores.size());
+                const auto object =
+                    numbered("object-", m_random.below(object_count));
+                m_last = m_last.next();
+                if (m_now >= m_leave_at) {
+                    ++m_result.arrived;
+                    m_counted.insert(m_last);
+                }
+                note_offered(first_target(object));
+                pass(i, arrival{m_last, "shop.example", "/x", object, 3000ms});
+                arrive_later();
+            });
     }
 
     // Counts the last request if the load of its first target is measured now.
@@ -416,7 +439,8 @@
                                            t.cold_until - m_now));
         after(latency, [this, a, check] {
             if (!a->ended) {
-                pass(a->instance, request::attempt_connected{a->id, check});
+                pass(a->instance,
+                     request::attempt_connected{a->id, check, true});
             }
         });
     }
@@ -429,7 +453,8 @@
 
     void connected(const attempt_ptr& a) {
         if (!a->ended) {
-            pass(a->instance, request::attempt_connected{a->id});
+            pass(a->instance, request::attempt_connected{a->id, std::nullopt,
+                                                         !a->is_reused});
         }
     }
 
@@ -574,6 +599,20 @@
      true},
     {"1,300 instances, just started", 1300, 500ms, 20, store::tells,
      departure::ends, true},
+    {"61 distant instances, 0.2 s", 61, 200ms, 31, store::tells,
+     departure::ends, false, true, 2},
+    {"89 distant instances, 1.2 s", 89, 1200ms, 32, store::tells,
+     departure::ends, false, true, 2},
+    {"1,300 distant instances, 0.2 s", 1300, 200ms, 33, store::tells,
+     departure::ends, false, true, 2},
+    {"1,300 distant instances, 1.2 s", 1300, 1200ms, 34, store::tells,
+     departure::ends, false, true, 2},
+    {"89 distant instances, silent store", 89, 500ms, 35, store::silent,
+     departure::ends, false, true, 2},
+    {"1,300 distant instances, dark", 1300, 1200ms, 36, store::tells,
+     departure::dark, false, true, 2},
+    {"89 distant instances, half out of contact", 89, 500ms, 37,
+     store::half_silent, departure::ends, false, true, 2},
 };
 
 // A row is replayed once for all tests.
--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -434,15 +434,22 @@
     if (!m_view->instances_known || !m_view->routes) {
         return 0;
     }
+    return cold_quota(cold_bound_of(t), t.id, m_options.self,
+                      m_sending_instances);
+}
+
+double core::cold_bound_of(const fleet::target& t) const {
     const auto* service = m_view->routes->find(t.service);
     const double rate = service == nullptr ? 0 : service->cold_rate;
-    const double bound =
-        rate * m_options.limits.cold_factor + m_options.limits.cold_slack;
-    return cold_quota(bound, t.id, m_options.self, m_sending_instances);
+    return rate * m_options.limits.cold_factor + m_options.limits.cold_slack;
 }
 
 void core::note_instances(const fleet::view& next, base::time_point now) {
     const bool is_same = m_view && m_view->instances == next.instances;
+    if (!is_same) {
+        m_check_peers = choose_check_peers(m_options.self, m_options.region,
+                                           next.instances);
+    }
     if (is_same && m_unlisted_instances.empty()) {
         return;
     }
@@ -463,6 +470,24 @@
     }
 }
 
+std::vector<base::endpoint>
+core::check_peers_for(const fleet::target& t) const {
+    const auto found = m_check_peers.find(t.region);
+    return found == m_check_peers.end()
+               ? std::vector<base::endpoint>()
+               : order_check_peers(found->second, t.id);
+}
+
+std::vector<base::endpoint> core::check_peers() const {
+    std::vector<base::endpoint> all;
+    for (const auto& [region, peers] : m_check_peers) {
+        for (const auto& p : peers) {
+            all.push_back(p.at);
+        }
+    }
+    return all;
+}
+
 void core::note_restarts(base::time_point now, effects& out) {
     for (const auto& t : m_view->targets) {
         const auto known = m_target_states.find(t.id);
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "pollenreel/base/random.hpp"
+#include "pollenreel/dispatch/check_peers.hpp"
 #include "pollenreel/dispatch/departing_targets.hpp"
 #include "pollenreel/dispatch/latency_profile.hpp"
 #include "pollenreel/dispatch/placement.hpp"
@@ -17,6 +18,7 @@
 #include "pollenreel/dispatch/retry_budget.hpp"
 #include "pollenreel/dispatch/shared_loads.hpp"
 #include "pollenreel/dispatch/target_state.hpp"
+#include "pollenreel/dispatch/unchecked_openings.hpp"
 #include "pollenreel/fleet/view.hpp"
 #include "pollenreel/quota/gate.hpp"
 #include "pollenreel/request/attempt_messages.hpp"
@@ -248,6 +250,7 @@
     std::uint64_t callers_gone = 0;
     std::uint64_t checks = 0;            // of new connections, answered
     std::uint64_t checks_found_cold = 0; // before the store said so
+    std::uint64_t unchecked = 0;         // new connections to distant targets
 };
 
 // Not thread-safe.
@@ -280,6 +283,12 @@
     // first report to a hub.
     [[nodiscard]] std::optional<quota::usage_report>
     report_usage(bool whole, base::time_point now);
+    // What the target is checked by for another instance; nullopt if this one
+    // does not know it at that address.
+    [[nodiscard]] std::optional<std::string>
+    check_path_for(const request::chosen_target& target) const;
+    // All instances that are asked to check targets.
+    [[nodiscard]] std::vector<base::endpoint> check_peers() const;
     // Whether the last forwarded answer exceeded its target latency.
     [[nodiscard]] bool last_answer_late() const { return m_last_answer_late; }
 
@@ -324,6 +333,7 @@
         bool queued = false; // the target had no free slot when it was chosen
         double slowdown = 1;
         bool sent = false;
+        bool unchecked = false; // if a connection is opened
     };
 
     // Empty without a tenant.
@@ -398,6 +408,8 @@
     // Requests per second that this instance may send to the target while it is
     // cold.
     [[nodiscard]] std::size_t cold_quota_at(const fleet::target& t) const;
+    // Requests per second that all instances may send to it then.
+    [[nodiscard]] double cold_bound_of(const fleet::target& t) const;
     // Takes in which instances `next` lists and the last view did not, and vice
     // versa.
     void note_instances(const fleet::view& next, base::time_point now);
@@ -409,6 +421,21 @@
                                                const target_state& s,
                                                std::size_t sent,
                                                base::time_point now) const;
+    // Decides how a connection is checked that is opened for the attempt.
+    void choose_check(request::open_attempt& opening, const fleet::target& t,
+                      const target_state& s, base::time_point now);
+    [[nodiscard]] unchecked_query
+    unchecked_query_for(const fleet::target& t) const;
+    // Whether the target may have restarted without this instance hearing of
+    // it, as far as that is known.
+    [[nodiscard]] bool is_doubtful(const fleet::target& t,
+                                   const target_state& s,
+                                   base::time_point now) const;
+    void note_opened(const ongoing_attempt& a, base::time_point now);
+    // Those that are asked to check the target, the first one first; none in
+    // the own region.
+    [[nodiscard]] std::vector<base::endpoint>
+    check_peers_for(const fleet::target& t) const;
     // Takes in what a target said when a connection to it was opened.
     void note_check(const ongoing_attempt& a, const request::target_check& c,
                     base::time_point now, effects& out);
@@ -500,6 +527,7 @@
         m_unlisted_instances;
     // Those that may send to targets: the listed ones and those above.
     std::vector<fleet::instance> m_sending_instances;
+    check_peers_by_region m_check_peers;
     std::uint64_t m_view_number = 0;
     std::optional<base::time_point> m_stop_at;
     bool m_last_answer_late = false;
@@ -526,6 +554,7 @@
     std::uint64_t m_gate_starts = 0;
     std::map<base::service_id, queueing_ranks> m_queueing_ranks;
     std::map<base::service_id, region_wait> m_region_waits;
+    std::map<base::service_id, unchecked_openings> m_openings_abroad;
 };
 
 } // namespace pollenreel::dispatch
--- a/pollenreel/dispatch/core_attempts.cpp
+++ b/pollenreel/dispatch/core_attempts.cpp
@@ -93,7 +93,7 @@
     opening.idempotent = pending.route->idempotent;
     opening.max_connections = connections_at(*best.target, state, now);
     opening.close_surplus = m_options.limits.hold_connections;
-    opening.check_path = check_path_of(pending.service);
+    choose_check(opening, *best.target, state, now);
     choice_record record{
         pending.route->id,
         pending.service,
@@ -114,7 +114,9 @@
                            now,
                            best.kind,
                            best.wait > base::duration::zero(),
-                           state.slowdown(now)};
+                           state.slowdown(now),
+                           false,
+                           opening.check_path.empty()};
     state.on_attempt_started(now);
     pending.open_attempts.push_back(id);
     pending.tried.push_back(best.target->id);
@@ -133,6 +135,9 @@
     if (found == m_open_attempts.end()) {
         return;
     }
+    if (e.is_new) {
+        note_opened(found->second, now);
+    }
     if (e.check) {
         note_check(found->second, *e.check, now, out);
     }
@@ -164,6 +169,67 @@
                : service->health_path;
 }
 
+void core::choose_check(request::open_attempt& opening, const fleet::target& t,
+                        const target_state& s, base::time_point now) {
+    opening.check_path = check_path_of(t.service);
+    if (opening.check_path.empty() || t.region == m_options.region) {
+        return;
+    }
+    const auto query = unchecked_query_for(t);
+    if (!is_doubtful(t, s, now) &&
+        !s.unchecked_within(unchecked_interval(query), now) &&
+        m_openings_abroad[t.service].allows(query, now, m_random.unit())) {
+        opening.check_path.clear();
+        return;
+    }
+    opening.check_peers = check_peers_for(t);
+}
+
+unchecked_query core::unchecked_query_for(const fleet::target& t) const {
+    const auto& all = m_targets_by_service.at(t.service);
+    const auto distant =
+        std::count_if(all.begin(), all.end(), [&](const auto* other) {
+            return other->region != m_options.region;
+        });
+    return {cold_bound_of(t),
+            m_view->instances_known ? m_sending_instances.size() : 0,
+            static_cast<std::size_t>(distant)};
+}
+
+bool core::is_doubtful(const fleet::target& t, const target_state& s,
+                       base::time_point now) const {
+    return s.failed_lately(now) || s.recently_recovered(now) ||
+           s.cold_until(t.cold_until, m_options.max_report_age) > now ||
+           now - m_view->confirmed_at > m_options.max_report_age;
+}
+
+void core::note_opened(const ongoing_attempt& a, base::time_point now) {
+    if (!a.kind.abroad) {
+        return;
+    }
+    m_openings_abroad[m_pending.at(a.request).service].on_opened(now);
+    if (a.unchecked) {
+        ++m_counters.unchecked;
+        m_target_states.at(a.target).on_unchecked(now);
+    }
+}
+
+std::optional<std::string>
+core::check_path_for(const request::chosen_target& target) const {
+    if (!m_view || !m_view->routes) {
+        return std::nullopt;
+    }
+    const auto known = std::lower_bound(
+        m_view->targets.begin(), m_view->targets.end(), target.id,
+        [](const auto& t, const auto& id) { return t.id < id; });
+    if (known == m_view->targets.end() || known->id != target.id ||
+        known->address != target.address) {
+        return std::nullopt;
+    }
+    auto path = check_path_of(known->service);
+    return path.empty() ? std::nullopt : std::optional(std::move(path));
+}
+
 void core::note_check(const ongoing_attempt& a, const request::target_check& c,
                       base::time_point now, effects& out) {
     ++m_counters.checks;
--- a/pollenreel/dispatch/target_state.hpp
+++ b/pollenreel/dispatch/target_state.hpp
@@ -94,6 +94,13 @@
     cold_until(base::time_point reported,
                std::chrono::milliseconds max_report_age) const;
 
+    // A new connection was used without a check.
+    void on_unchecked(base::time_point now) { m_unchecked_at = now; }
+    [[nodiscard]] bool unchecked_within(base::duration period,
+                                        base::time_point now) const {
+        return m_unchecked_at && now - *m_unchecked_at < period;
+    }
+
     // That start of the target wants no requests until `until`.
     void back_off(std::int64_t incarnation, base::time_point until);
     // End of a back-off of that start of the target; nullopt if there is none.
@@ -140,6 +147,7 @@
     std::uint32_t m_in_flight = 0;
     // By the last check of a new connection; nullopt if there was none.
     std::optional<base::time_point> m_checked_cold_until;
+    std::optional<base::time_point> m_unchecked_at;
     double m_load_of_others = 0; // requests of other instances, smoothed
     std::optional<base::time_point> m_load_reported_at;
     // Requests of other instances when the target last refused one as full;
--- a/pollenreel/egress/target_pool.cpp
+++ b/pollenreel/egress/target_pool.cpp
@@ -1,5 +1,6 @@
 #include "pollenreel/egress/target_pool.hpp"
 
+#include "pollenreel/asio/call_within.hpp"
 #include "pollenreel/http/error.hpp"
 
 #include <boost/asio/post.hpp>
@@ -24,16 +25,27 @@
 // requests.
 constexpr int max_reads_first = 256;
 
+// Age up to which a peer's check holds for a connection. A target that
+// restarts is away for longer.
+constexpr milliseconds max_peer_check_age{50};
+
+// Age up to which a check for one peer is the answer to the next. With that at
+// the peer and the message's way it stays below the absence of a target that
+// restarts.
+constexpr milliseconds max_shared_check_age{100};
+
 } // namespace
 
 target_pool::target_pool(boost::asio::io_context& io, const base::clock& clock,
                          target_pool_options options, response_reader reader,
-                         event_handler on_event, check_reader read_check)
+                         event_handler on_event, check_reader read_check,
+                         peer_check ask_peer)
     : m_io(io), m_clock(clock), m_options(options),
       m_budget(
           std::make_shared<http::receive_budget>(options.max_receiving_bytes)),
       m_reader(std::move(reader)), m_on_event(std::move(on_event)),
-      m_read_check(std::move(read_check)), m_tracker(m_options.connections) {}
+      m_read_check(std::move(read_check)), m_ask_peer(std::move(ask_peer)),
+      m_tracker(m_options.connections) {}
 
 void target_pool::open(const request::open_attempt& o) {
     const auto id = o.attempt;
@@ -55,9 +67,63 @@
     }
     close_idle_beyond(o.target.address, std::max(1U, o.max_connections) - 1);
     m_exchanges[id] = {{}, now, o.deadline, false, {}};
+    if (m_ask_peer && !o.check_path.empty() && !o.check_peers.empty()) {
+        ask_peer(o);
+    }
     connect(id, {o.target, o.check_path});
 }
 
+void target_pool::ask_peer(const request::open_attempt& o) {
+    m_exchanges.at(o.attempt).asked =
+        asked_check{true, std::nullopt, {}, std::nullopt};
+    m_ask_peer(o.target, o.check_peers,
+               [this, id = o.attempt](const auto& answer) {
+                   on_peer_answer(id, answer);
+               });
+}
+
+void target_pool::on_peer_answer(
+    base::attempt_id attempt,
+    const std::optional<request::target_check>& answer) {
+    const auto found = m_exchanges.find(attempt);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    auto& asked = *found->second.asked;
+    asked.is_pending = false;
+    asked.answer = answer;
+    asked.answered_at = m_clock.now();
+    if (auto waiting = std::exchange(asked.waiting, {})) {
+        on_connected(attempt, std::move(*waiting));
+    }
+}
+
+void target_pool::on_connected(base::attempt_id attempt, pending_check c) {
+    if (c.path.empty() || !m_read_check) {
+        return m_on_event(
+            request::attempt_connected{attempt, std::nullopt, true});
+    }
+    auto& asked = m_exchanges.at(attempt).asked;
+    if (asked && asked->is_pending) {
+        asked->waiting = std::move(c);
+        return;
+    }
+    if (asked && asked->answer &&
+        m_clock.now() - asked->answered_at <= max_peer_check_age) {
+        return report_checked(attempt, *asked->answer);
+    }
+    check(attempt, std::move(c));
+}
+
+void target_pool::report_checked(base::attempt_id attempt,
+                                 const request::target_check& c) {
+    if (!m_connections.at(m_exchanges.at(attempt).connection)->reusable()) {
+        return report_connect_failed(attempt);
+    }
+    ++m_checked_by_peers;
+    m_on_event(request::attempt_connected{attempt, c, true});
+}
+
 milliseconds target_pool::time_for(const exchange& e,
                                    milliseconds limit) const {
     const auto remaining =
@@ -79,10 +145,7 @@
             if (!connected) {
                 return report_connect_failed(attempt);
             }
-            if (c.path.empty() || !m_read_check) {
-                return m_on_event(request::attempt_connected{attempt});
-            }
-            check(attempt, c);
+            on_connected(attempt, c);
         });
 }
 
@@ -111,7 +174,7 @@
     const auto& e = m_exchanges.at(attempt);
     const auto result = m_read_check(answer.value(), c.target.id);
     if (m_connections.at(e.connection)->reusable()) {
-        return m_on_event(request::attempt_connected{attempt, result});
+        return m_on_event(request::attempt_connected{attempt, result, true});
     }
     if (!std::exchange(c.may_reconnect, false)) {
         return report_connect_failed(attempt);
@@ -120,6 +183,81 @@
     connect(attempt, std::move(c));
 }
 
+void target_pool::check_for_peer(const request::chosen_target& target,
+                                 const std::string& path, check_handler done) {
+    const auto now = m_clock.now();
+    auto& shared = m_shared_checks[target];
+    if (shared.result && now - shared.checked_at <= max_shared_check_age) {
+        return done(shared.result);
+    }
+    shared.result.reset();
+    shared.waiting.push_back(asio::call_within<request::target_check>(
+        m_io, m_options.peer_check_timeout, std::move(done)));
+    if (shared.waiting.size() > 1) {
+        return;
+    }
+    while (const auto idle =
+               m_tracker.acquire_idle(target.address, true, now)) {
+        if (m_connections.at(*idle)->reusable()) {
+            return exchange_check(*idle, target, path);
+        }
+        m_tracker.on_lost(*idle, now);
+        close(*idle);
+    }
+    m_last_connection = m_last_connection.next();
+    const auto id = m_last_connection;
+    auto connection = std::make_shared<http::client_connection>(m_io);
+    m_connections[id] = connection;
+    m_tracker.on_opened(id, target.address);
+    connection->connect(target.address, m_options.connect_timeout,
+                        [this, id, target, path](const auto& connected) {
+                            if (connected) {
+                                return exchange_check(id, target, path);
+                            }
+                            close(id);
+                            on_checked_for_peers(target, {});
+                        });
+}
+
+void target_pool::exchange_check(request::connection_id id,
+                                 const request::chosen_target& target,
+                                 const std::string& path) {
+    http::request r;
+    r.path = path;
+    http::answer_terms terms;
+    terms.budget = m_budget;
+    m_connections.at(id)->exchange(
+        std::move(r), m_options.response_limits, m_options.check_timeout,
+        [this, id, target](const base::result<http::response>& answer) {
+            if (!answer) {
+                close(id);
+                return on_checked_for_peers(target, {});
+            }
+            const auto c = m_read_check(answer.value(), target.id);
+            if (m_connections.at(id)->reusable() && !c.wrong_target) {
+                m_tracker.on_answered(id, m_clock.now(),
+                                      m_reader(answer.value(), {}).keep_alive);
+            } else {
+                close(id);
+            }
+            on_checked_for_peers(target, c.tells || c.wrong_target
+                                             ? std::optional(c)
+                                             : std::nullopt);
+        },
+        std::move(terms));
+}
+
+void target_pool::on_checked_for_peers(
+    const request::chosen_target& target,
+    const std::optional<request::target_check>& result) {
+    auto& shared = m_shared_checks.at(target);
+    shared.result = result;
+    shared.checked_at = m_clock.now();
+    for (const auto& done : std::exchange(shared.waiting, {})) {
+        done(result);
+    }
+}
+
 void target_pool::report_connect_failed(base::attempt_id attempt) {
     close(m_exchanges.at(attempt).connection);
     m_exchanges.erase(attempt);
@@ -269,6 +407,10 @@
     for (const auto id : m_tracker.find_expired(now)) {
         close(id);
     }
+    std::erase_if(m_shared_checks, [&](const auto& one) {
+        return one.second.waiting.empty() &&
+               now - one.second.checked_at > max_shared_check_age;
+    });
     std::vector<base::attempt_id> stalled;
     for (const auto& [attempt, e] : m_exchanges) {
         if (m_connections.at(e.connection)->is_stalled(now)) {
--- a/pollenreel/egress/target_pool.hpp
+++ b/pollenreel/egress/target_pool.hpp
@@ -16,9 +16,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace pollenreel::egress {
 
@@ -31,6 +34,9 @@
     // A new connection to a busy target waits for one of its slots before its
     // first request is read, as long as that would take without a check.
     std::chrono::milliseconds check_timeout{600};
+    // A peer is told after this time that there is no answer yet, so that it
+    // can check the target itself. The check goes on.
+    std::chrono::milliseconds peer_check_timeout{40};
     // Accepts responses whose end is marked by the end of the connection.
     bool allow_close_delimited = false;
     // Drops a response to another request and waits for the next one. If false,
@@ -56,6 +62,15 @@
 using check_reader = std::function<request::target_check(
     const http::response&, const base::target_id& expected)>;
 
+// Receives nullopt if the target could not be checked.
+using check_handler =
+    std::function<void(const std::optional<request::target_check>&)>;
+
+// Has a target checked by one of `peers`; calls `done` once, later.
+using peer_check = std::function<void(const request::chosen_target&,
+                                      const std::vector<base::endpoint>& peers,
+                                      check_handler done)>;
+
 // Not thread-safe; runs on the single thread of the io_context.
 class target_pool {
 public:
@@ -65,7 +80,8 @@
 
     target_pool(boost::asio::io_context& io, const base::clock& clock,
                 target_pool_options options, response_reader reader,
-                event_handler on_event, check_reader read_check = {});
+                event_handler on_event, check_reader read_check = {},
+                peer_check ask_peer = {});
 
     // Obtains a connection, reusing an idle one if possible, and checks a new
     // one if that is asked for. Reports attempt_connected, or
@@ -74,6 +90,11 @@
     // Writes the request. Reports attempt_answered or attempt_lost.
     void send(base::attempt_id attempt, http::request r,
               const std::string& request_id, std::chrono::milliseconds limit);
+    // Checks a target by a GET of `path`, on an idle connection if there is
+    // one; for an instance that is far from the target. The answer may be that
+    // of another such check just before.
+    void check_for_peer(const request::chosen_target& target,
+                        const std::string& path, check_handler done);
     // Closes the attempt's connection; what the target has not acknowledged of
     // the request is never delivered. No further events are reported for it.
     // nullopt if the attempt had ended.
@@ -98,18 +119,15 @@
     [[nodiscard]] std::size_t receiving_bytes() const {
         return m_budget->used();
     }
+    // New connections that a peer's check allowed to use.
+    [[nodiscard]] std::uint64_t checked_by_peers_total() const {
+        return m_checked_by_peers;
+    }
     // Responses that were larger than the limits or than the memory left.
     [[nodiscard]] std::uint64_t cut_off_total() const { return m_cut_off; }
 
 private:
     using connection_ptr = std::shared_ptr<http::client_connection>;
-    struct exchange {
-        request::connection_id connection;
-        base::time_point started_at;
-        base::time_point deadline;
-        bool reused = false;
-        http::response response;
-    };
     // What is left to do after a connect.
     struct pending_check {
         request::chosen_target target;
@@ -117,9 +135,38 @@
         // The target may close the connection with its answer to the check.
         bool may_reconnect = true;
     };
+    // The check that a peer makes for an attempt.
+    struct asked_check {
+        bool is_pending;
+        std::optional<request::target_check> answer;
+        base::time_point answered_at;
+        // The check to be made if there is no answer; set once connected.
+        std::optional<pending_check> waiting;
+    };
+    struct exchange {
+        request::connection_id connection;
+        base::time_point started_at;
+        base::time_point deadline;
+        bool reused = false;
+        http::response response;
+        std::optional<asked_check> asked{};
+    };
 
     void connect(base::attempt_id attempt, pending_check check);
+    void on_connected(base::attempt_id attempt, pending_check check);
     void check(base::attempt_id attempt, pending_check check);
+    void ask_peer(const request::open_attempt& o);
+    void on_peer_answer(base::attempt_id attempt,
+                        const std::optional<request::target_check>& answer);
+    // The connection was checked by a peer and may be used.
+    void report_checked(base::attempt_id attempt,
+                        const request::target_check& c);
+    void exchange_check(request::connection_id id,
+                        const request::chosen_target& target,
+                        const std::string& path);
+    void
+    on_checked_for_peers(const request::chosen_target& target,
+                         const std::optional<request::target_check>& result);
     void on_checked(base::attempt_id attempt, pending_check check,
                     const base::result<http::response>& answer);
     void report_connect_failed(base::attempt_id attempt);
@@ -147,12 +194,21 @@
     response_reader m_reader;
     event_handler m_on_event;
     check_reader m_read_check;
+    peer_check m_ask_peer;
     boost::unordered_flat_map<base::attempt_id, exchange> m_exchanges;
     request::connection_tracker m_tracker;
     boost::unordered_flat_map<request::connection_id, connection_ptr>
         m_connections;
+    // Checks for peers.
+    struct shared_check {
+        std::vector<check_handler> waiting; // while it is under way
+        std::optional<request::target_check> result{};
+        base::time_point checked_at{};
+    };
+    std::map<request::chosen_target, shared_check> m_shared_checks;
     request::connection_id m_last_connection;
     std::uint64_t m_cut_off = 0;
+    std::uint64_t m_checked_by_peers = 0;
     int m_reads_first = 0; // in a row
 };
 
--- a/pollenreel/egress/target_pool_test.cpp
+++ b/pollenreel/egress/target_pool_test.cpp
@@ -4,12 +4,14 @@
 #include "testing/stalled_path.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 #include <fmt/format.h>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -47,12 +49,21 @@
                   request::target_check c;
                   c.tells = r.status == 200;
                   return c;
+              },
+              [this](const request::chosen_target&,
+                     const std::vector<base::endpoint>&,
+                     const egress::check_handler& done) {
+                  ++asked_peers;
+                  asio::post(m_io, [this, done] {
+                      done(peer_answer);
+                      clock.advance(after_peer_answer);
+                  });
               }) {
         REQUIRE(m_target.start().has_value());
     }
 
     // Opens an attempt whose connection is checked and waits for the result.
-    std::string open_checked() {
+    std::string open_checked(std::vector<base::endpoint> peers = {}) {
         m_last_attempt = m_last_attempt.next();
         request::open_attempt open;
         open.attempt = m_last_attempt;
@@ -61,12 +72,29 @@
         open.idempotent = true;
         open.max_connections = 8;
         open.check_path = health_path;
+        open.check_peers = std::move(peers);
         m_pool.open(open);
         while (!m_last_event.contains(open.attempt)) {
             REQUIRE(m_io.run_one() > 0);
         }
         return m_last_event.at(open.attempt);
     }
+    // Checks the target for a peer. Says whether an answer came in time, or
+    // nullopt if there is none yet.
+    using peer_result = std::shared_ptr<std::optional<bool>>;
+    peer_result check_for_peer() {
+        auto result = std::make_shared<std::optional<bool>>();
+        m_pool.check_for_peer(
+            {base::target_id("t-1"), m_address}, health_path,
+            [result](const auto& c) { *result = c.has_value(); });
+        return result;
+    }
+    bool await(const peer_result& r) {
+        while (!*r) {
+            REQUIRE(m_io.run_one() > 0);
+        }
+        return **r;
+    }
     // The target answers nothing until it has a slot.
     void end_silence_after(std::chrono::milliseconds t) {
         is_silent = true;
@@ -133,6 +161,9 @@
     bool echoes_id = true;
     bool closes = false; // the connection with each answer
     int checks = 0;      // received
+    int asked_peers = 0; // times that a peer was asked for a check
+    std::optional<request::target_check> peer_answer;
+    std::chrono::milliseconds after_peer_answer{0};
     // Writes the last refusal of a connection once more before the response to
     // the next request on it.
     bool repeats_refusals = false;
@@ -410,6 +441,62 @@
     CHECK(f.checks == 1);
 }
 
+// The check of a distant target took another round trip after the connect.
+TEST_CASE("a distant target is checked by a peer while connecting") {
+    struct row {
+        const char* name;
+        bool has_peers;
+        std::optional<request::target_check> answer;
+        std::chrono::milliseconds age; // of the answer, once connected
+        int asked;
+        int checks; // of this instance
+    };
+    const request::target_check told{true, 0ms, false};
+    const row rows[] = {
+        {"no peers", false, told, 0ms, 0, 1},
+        {"a peer checks the target", true, told, 0ms, 1, 0},
+        {"the peer cannot", true, std::nullopt, 0ms, 1, 1},
+        {"connecting takes longer", true, told, 51ms, 1, 1},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        pool_fixture f;
+        f.peer_answer = r.answer;
+        f.after_peer_answer = r.age;
+        CHECK(f.open_checked(r.has_peers
+                                 ? std::vector<base::endpoint>{{"peer", 1}}
+                                 : std::vector<base::endpoint>()) == "checked");
+        CHECK(f.asked_peers == r.asked);
+        CHECK(f.checks == r.checks);
+    }
+}
+
+TEST_CASE("peers that ask about the same target share its check") {
+    pool_fixture f;
+    const auto first = f.check_for_peer();
+    const auto second = f.check_for_peer();
+    CHECK(f.await(first));
+    CHECK(f.await(second));
+    f.clock.advance(100ms);
+    CHECK(f.await(f.check_for_peer()));
+    CHECK(f.checks == 1);
+    // A target may have restarted since then.
+    f.clock.advance(1ms);
+    CHECK(f.await(f.check_for_peer()));
+    CHECK(f.checks == 2);
+    CHECK(f.connects() == 1);
+}
+
+TEST_CASE("a peer does not wait for a slot of a busy target") {
+    pool_fixture f;
+    f.is_silent = true;
+    CHECK_FALSE(f.await(f.check_for_peer()));
+    f.end_silence();
+    const auto later = f.check_for_peer();
+    CHECK(f.await(later));
+    CHECK(f.checks == 1);
+}
+
 // A connection that the target closed while it was idle told nothing, so that
 // the next ones were reused for as long.
 TEST_CASE("a connection found closed lowers the idle time that is proven") {
--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -187,6 +187,12 @@
                 return m_follower.make_fetch_response(key, m_clock.now());
             });
         m_exchange.use_listener(*m_relay_listener);
+        m_relay_listener->serve_checks([this](const auto& target, auto done) {
+            m_traffic.check_target(
+                target, [&io = m_io, done = std::move(done)](const auto& c) {
+                    boost::asio::post(io, [done, c] { done(c); });
+                });
+        });
         if (const auto up = m_relay_listener->start(); !up) {
             m_log.warning("relay_cannot_listen",
                           {{"problem", up.error().text()}});
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -7,12 +7,14 @@
 #include "pollenreel/entry/traffic_metrics.hpp"
 #include "pollenreel/fleet/directory.hpp"
 #include "pollenreel/http/server.hpp"
+#include "pollenreel/relay/check_client.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/unordered/unordered_flat_map.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <set>
@@ -125,6 +127,7 @@
               [this](const http::request&, const http::responder& answer) {
                   answer(metrics_page());
               }),
+          m_check_client(m_io, clock),
           m_targets(
               m_io, clock, pool_options(s),
               [this](const http::response& r, std::string_view id) {
@@ -135,6 +138,11 @@
               },
               [this](const http::response& r, const base::target_id& expected) {
                   return m_protocol.read_check(r, expected);
+              },
+              [this](const request::chosen_target& target,
+                     const std::vector<base::endpoint>& peers,
+                     egress::check_handler done) {
+                  m_check_client.ask(target, peers, std::move(done));
               }) {}
 
     base::result<void> start() {
@@ -177,6 +185,18 @@
         });
     }
 
+    void check_target(const request::chosen_target& target,
+                      egress::check_handler done) {
+        boost::asio::post(m_io, [this, target, done = std::move(done)] {
+            const auto path = m_core.check_path_for(target);
+            if (!path) {
+                return done({});
+            }
+            ++m_checks_for_others;
+            m_targets.check_for_peer(target, *path, done);
+        });
+    }
+
     void stop(base::time_point until, std::function<void()> ended) {
         boost::asio::post(m_io, [this, until, ended = std::move(ended)] {
             m_ended = ended;
@@ -222,6 +242,19 @@
                                  l.header_timeout, l.idle_timeout);
         }
         handle(dispatch::view_changed{v});
+        connect_to_check_peers();
+    }
+
+    // So that the first questions need not wait for connections.
+    void connect_to_check_peers() {
+        auto peers = m_core.check_peers();
+        for (const auto& p : peers) {
+            if (std::find(m_check_peers.begin(), m_check_peers.end(), p) ==
+                m_check_peers.end()) {
+                m_check_client.connect(p);
+            }
+        }
+        m_check_peers = std::move(peers);
     }
 
     void on_request(http::request r, http::responder answer) {
@@ -312,7 +345,8 @@
             metrics_text(
                 {m_core.counts(), m_metrics.read(), m_core.requests_in_flight(),
                  m_callers.connections(), m_callers.counters().malformed,
-                 m_lookups, m_targets.connections(), m_targets.opened_total(),
+                 m_lookups, m_checks_for_others, m_targets.connections(),
+                 m_targets.opened_total(), m_targets.checked_by_peers_total(),
                  m_targets.receiving_bytes(), m_targets.cut_off_total(),
                  m_view.get(), m_clock.now(), m_control, keys_age()})};
     }
@@ -483,6 +517,8 @@
     http::server m_readiness;
     http::server m_directory;
     http::server m_metrics_listener;
+    relay::check_client m_check_client;
+    std::vector<base::endpoint> m_check_peers; // connected to
     egress::target_pool m_targets;
     traffic_metrics m_metrics;
     fleet::view_ptr m_view;
@@ -494,6 +530,7 @@
     base::time_point m_log_reported{};
     base::request_id m_last_id;
     std::uint64_t m_lookups = 0;
+    std::uint64_t m_checks_for_others = 0;
     milliseconds m_revocation_bound = m_settings.limits.revocation_bound;
     std::thread m_thread;
 };
@@ -527,6 +564,11 @@
     m_loop->on_news(std::move(news));
 }
 
+void traffic::check_target(const request::chosen_target& target,
+                           egress::check_handler done) {
+    m_loop->check_target(target, std::move(done));
+}
+
 void traffic::stop(base::time_point until, std::function<void()> ended) {
     m_loop->stop(until, std::move(ended));
 }
--- a/pollenreel/entry/traffic.hpp
+++ b/pollenreel/entry/traffic.hpp
@@ -3,6 +3,7 @@
 // attempts to targets.
 #pragma once
 
+#include "pollenreel/egress/target_pool.hpp"
 #include "pollenreel/entry/protocol.hpp"
 #include "pollenreel/entry/settings.hpp"
 #include "pollenreel/fleet/exchange.hpp"
@@ -52,6 +53,10 @@
     void make_report(bool whole,
                      std::function<void(fleet::exchange_report)> done);
     void on_news(fleet::exchange_news news);
+    // Checks a target for another instance. Calls `done` on the traffic thread,
+    // with nullopt if that could not be done.
+    void check_target(const request::chosen_target& target,
+                      egress::check_handler done);
     // Leaves: is not ready from now on, finishes what is under way until
     // `until`, then ends the thread.
     // `ended` is called on the traffic thread when it does.
--- a/pollenreel/entry/traffic_metrics.cpp
+++ b/pollenreel/entry/traffic_metrics.cpp
@@ -35,6 +35,10 @@
     page.counter("pollenreel_target_checks_cold_total",
                  "Of these, of targets that the store did not yet call cold.",
                  c.checks_found_cold);
+    page.counter("pollenreel_target_unchecked_total",
+                 "New connections to distant targets that were used without a "
+                 "check.",
+                 c.unchecked);
     for (const auto& [reason, count] : s.recorded.refusals) {
         page.counter("pollenreel_refusals_total",
                      "Requests that the instance answered itself.", count,
@@ -43,6 +47,9 @@
     page.counter("pollenreel_malformed_requests_total",
                  "Requests that could not be read.", s.malformed);
     page.counter("pollenreel_lookups_total", "Look-ups answered.", s.lookups);
+    page.counter("pollenreel_target_checks_for_others_total",
+                 "Checks of targets that other instances asked for.",
+                 s.checks_for_others);
 }
 
 void add_state(metrics::exposition& page, const metrics_snapshot& s) {
@@ -54,6 +61,9 @@
                static_cast<double>(s.target_connections));
     page.counter("pollenreel_target_connections_opened_total",
                  "Connections opened to targets.", s.target_connections_opened);
+    page.counter("pollenreel_target_checks_by_others_total",
+                 "Checks that other instances made for this one.",
+                 s.checked_by_others);
     page.gauge("pollenreel_receiving_bytes",
                "Memory of the bodies that targets are sending, in bytes.",
                static_cast<double>(s.receiving_bytes));
--- a/pollenreel/entry/traffic_metrics.hpp
+++ b/pollenreel/entry/traffic_metrics.hpp
@@ -43,8 +43,10 @@
     std::size_t caller_connections = 0;
     std::uint64_t malformed = 0;
     std::uint64_t lookups = 0;
+    std::uint64_t checks_for_others = 0;
     std::size_t target_connections = 0;
     std::uint64_t target_connections_opened = 0;
+    std::uint64_t checked_by_others = 0;
     std::size_t receiving_bytes = 0;
     std::uint64_t responses_cut_off = 0;
     const fleet::view* view = nullptr; // null: none yet
--- a/pollenreel/relay/listener.cpp
+++ b/pollenreel/relay/listener.cpp
@@ -1,5 +1,6 @@
 #include "pollenreel/relay/listener.hpp"
 
+#include "pollenreel/relay/check_codec.hpp"
 #include "pollenreel/relay/codec.hpp"
 #include "pollenreel/relay/exchange_codec.hpp"
 
@@ -11,6 +12,8 @@
 
 // The largest planned region has 45 instances.
 constexpr std::size_t max_pending_polls = 256;
+// Those of polls, and those of instances of other regions.
+constexpr std::size_t max_connections = 512;
 constexpr unsigned http_bad_request = 400;
 constexpr unsigned http_unavailable = 503;
 constexpr std::uint32_t header_bytes = 1024;
@@ -26,7 +29,7 @@
     o.listen = at;
     o.limits = {header_bytes, poll_body_bytes};
     o.budget = std::make_shared<http::receive_budget>(exchange_memory);
-    o.max_connections = max_pending_polls;
+    o.max_connections = max_connections;
     return o;
 }
 
@@ -48,6 +51,12 @@
     if (m_exchange && answer_exchange(r, respond)) {
         return;
     }
+    if (const auto target = decode_check_request(r); target && m_checks) {
+        return m_checks(*target, [respond](const auto& check) {
+            respond(check ? encode(*check)
+                          : http::response{http_unavailable, {}, ""});
+        });
+    }
     auto request = decode_request(r);
     if (!request) {
         return respond({http_bad_request, {}, ""});
--- a/pollenreel/relay/listener.hpp
+++ b/pollenreel/relay/listener.hpp
@@ -6,12 +6,14 @@
 //   listener.start();
 //   listener.on_progress(); // on each report of the store, and when it is lost
 //   listener.serve_exchange(handlers); // answers reports of instances as well
+//   listener.serve_checks(check); // checks targets for instances elsewhere
 #pragma once
 
 #include "pollenreel/base/clock.hpp"
 #include "pollenreel/fleet/exchange_messages.hpp"
 #include "pollenreel/fleet/relay_messages.hpp"
 #include "pollenreel/http/server.hpp"
+#include "pollenreel/request/attempt_messages.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -20,6 +22,7 @@
 #include <list>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace pollenreel::relay {
 
@@ -44,6 +47,12 @@
     using value_source =
         std::function<std::optional<store::key_change>(const std::string& key)>;
 
+    // Checks a target and calls `done` with the result, nullopt if it could
+    // not, now or later on the listener's thread.
+    using check_source = std::function<void(
+        const request::chosen_target&,
+        std::function<void(const std::optional<request::target_check>&)> done)>;
+
     // `clock` must outlive the listener.
     listener(boost::asio::io_context& io, const base::endpoint& at,
              const base::clock& clock, response_source source,
@@ -53,6 +62,8 @@
     [[nodiscard]] base::result<void> start() { return m_server.start(); }
     // Until then, messages of the exchange are malformed requests.
     void serve_exchange(exchange_handlers h);
+    // The same for requests to check a target.
+    void serve_checks(check_source s) { m_checks = std::move(s); }
     // Responds to all pending polls.
     void on_progress();
     // Responds to polls whose maximum wait has passed. Must be called a few
@@ -88,6 +99,7 @@
     response_source m_source;
     value_source m_values;
     std::optional<exchange_handlers> m_exchange;
+    check_source m_checks;
     http::server m_server;
     std::list<pending_poll> m_pending_polls;
     std::uint64_t m_response_count = 0;
--- a/pollenreel/request/attempt_messages.hpp
+++ b/pollenreel/request/attempt_messages.hpp
@@ -10,11 +10,13 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace pollenreel::request {
 
-// What a target says of itself on a connection that was just opened. The
-// process that answers is the one that all requests on the connection reach.
+// What a target says of itself on a connection that was just opened, or to
+// another instance meanwhile. The process that answers is the one that all
+// requests on the connection reach.
 struct target_check {
     // False if the answer does not tell; `cold_for` says nothing then.
     bool tells = false;
@@ -27,6 +29,8 @@
     base::attempt_id attempt;
     // nullopt if the connection was open before, or no check was asked for.
     std::optional<target_check> check = std::nullopt;
+    // The connection was opened for the attempt.
+    bool is_new = false;
 };
 struct attempt_connect_failed {
     base::attempt_id attempt;
@@ -56,6 +60,9 @@
     // A connection that has to be opened is checked by a GET of this path
     // before it is reported as connected; empty for no check.
     std::string check_path{};
+    // Instances near the target, of which one is asked for that check while
+    // the connection is being opened. Without their answer it is made here.
+    std::vector<base::endpoint> check_peers{};
 };
 struct send_attempt { // write the request to the attempt's connection
     base::attempt_id attempt;
--- a/pollenreel/request/types.hpp
+++ b/pollenreel/request/types.hpp
@@ -78,6 +78,9 @@
 struct chosen_target {
     base::target_id id;
     base::endpoint address;
+
+    friend auto operator<=>(const chosen_target&,
+                            const chosen_target&) = default;
 };
 
 // The output of a filter, or the refusal that ends the request.
