Ignore failures of attempts at a target's former process

A target that had just restarted was ejected for up to 4 s: attempts at the process before broke after the store had told of the new one, and counted against it.

Attempts at another start of the target than the one known last end without a verdict. The test failed before: two attempts that broke late ejected the new process.

--- a/pollenreel/dispatch/core_attempts.cpp
+++ b/pollenreel/dispatch/core_attempts.cpp
@@ -494,7 +494,10 @@
     if (!found->second.sent) {
         state.on_not_sent(found->second.started_at);
     }
-    state.on_attempt_ended(result, found->second.started_at, now);
+    state.on_attempt_ended(state.is_former(found->second.incarnation)
+                               ? attempt_result::cancelled
+                               : result,
+                           found->second.started_at, now);
     std::erase(m_pending.at(found->second.request).open_attempts, id);
     m_open_attempts.erase(found);
 }
--- a/pollenreel/dispatch/restarted_target_test.cpp
+++ b/pollenreel/dispatch/restarted_target_test.cpp
@@ -118,6 +118,22 @@
     CHECK(find<open_attempt>(failed.arrive()) != nullptr);
 }
 
+// Attempts at the process before broke after the report of the new one, which
+// was then ejected.
+TEST_CASE("failures of the former process do not count against the next one") {
+    restart_driver d(0);
+    const auto first = opened(d.arrive());
+    const auto second = opened(d.arrive());
+    for (const auto id : {first, second}) {
+        d.handle(request::attempt_connected{id});
+    }
+    d.show_incarnation(2);
+    for (const auto id : {first, second}) {
+        d.handle(request::attempt_lost{id});
+    }
+    CHECK(find<open_attempt>(d.arrive()) != nullptr);
+}
+
 // While the store turned instances away they went on sending. Those that it
 // still served dropped them from the list, and each took all for itself.
 TEST_CASE("instances that leave the list keep their part of the cold rate") {
--- a/pollenreel/dispatch/target_state.hpp
+++ b/pollenreel/dispatch/target_state.hpp
@@ -77,6 +77,11 @@
         return before && *before != incarnation;
     }
 
+    // Whether that start of the target is not the one known last.
+    [[nodiscard]] bool is_former(std::int64_t incarnation) const {
+        return m_incarnation && *m_incarnation != incarnation;
+    }
+
     // Drops what was learned of the former process: its load, cached objects
     // and failures. Requests that were sent still count.
     void forget_former_process();
