Let a refused check decide about its connection alone

Callers of a busy target lost it for its whole cold time, three seconds, when it refused the check of one new connection: it was taken for cold, also by requests on connections that were open.

A refusal says nothing of the process behind open connections. The request of the new connection is sent if the instance's part of the cold rate allows it, as before. The test's row 'refused' failed before: the next request found no target.

--- a/pollenreel/dispatch/check_choice_test.cpp
+++ b/pollenreel/dispatch/check_choice_test.cpp
@@ -16,8 +16,10 @@
 // instances beside it.
 class check_driver {
 public:
-    explicit check_driver(bool distant)
-        : m_distant(distant), m_core(driver::make_options()) {
+    explicit check_driver(bool distant, int instances = 5,
+                          double cold_rate = 1000)
+        : m_distant(distant), m_instances(instances), m_cold_rate(cold_rate),
+          m_core(driver::make_options()) {
         show_view();
     }
 
@@ -36,11 +38,12 @@
         r.max_attempts = 2;
         r.services = {{base::service_id("s"), 1}};
         c.routes.push_back(r);
-        // With this rate the part of one second is above one.
-        c.services.push_back({base::service_id("s"), 100, 3s, 1000, "/health"});
+        // With a rate of 1,000 the unchecked part of a second is above one.
+        c.services.push_back(
+            {base::service_id("s"), 100, 3s, m_cold_rate, "/health"});
         v->routes = std::make_shared<routes::route_table>(std::move(c));
         fleet::target t;
-        t.id = base::target_id("t-1");
+        t.id = base::target_id("t-0");
         t.service = base::service_id("s");
         t.region = base::region_id(m_distant ? "erongo" : "khomas");
         t.address = {"10.0.0.1", 80};
@@ -48,7 +51,7 @@
         t.incarnation = 1;
         t.cold_until = cold ? now + 3s : base::time_point();
         v->targets.push_back(t);
-        for (int n = 1; n <= 5; ++n) {
+        for (int n = 1; n <= m_instances; ++n) {
             fleet::instance one;
             one.id = base::instance_id("i-" + std::to_string(n));
             one.region = base::region_id(n == 1 ? "khomas" : "erongo");
@@ -61,21 +64,26 @@
         (void)m_core.handle(view_changed{v}, now);
     }
 
-    request::open_attempt open() {
+    effects arrive() {
         m_last = m_last.next();
-        const auto out = m_core.handle(
-            arrival{m_last, "shop.example", "/x", "", 1000ms}, now);
+        return m_core.handle(arrival{m_last, "shop.example", "/x", "", 1000ms},
+                             now);
+    }
+    request::open_attempt open() {
+        const auto out = arrive();
         const auto* opened = find<open_attempt>(out);
         REQUIRE(opened != nullptr);
         return opened->open;
     }
-    void handle(const event& e) { (void)m_core.handle(e, now); }
+    effects handle(const event& e) { return m_core.handle(e, now); }
     [[nodiscard]] const core& tested_core() const { return m_core; }
 
     base::time_point now{std::chrono::hours(1)};
 
 private:
     bool m_distant;
+    int m_instances;
+    double m_cold_rate;
     core m_core;
     base::request_id m_last;
 };
@@ -133,6 +141,31 @@
     }
 }
 
+// A busy target that refused the check of a new connection was taken for cold
+// for the whole cold time, also by requests on connections that were open.
+TEST_CASE("a refused check decides about its connection alone") {
+    struct row {
+        const char* name;
+        request::target_check check;
+        bool sent;  // the request of the connection
+        bool later; // one after it, which may use an open connection
+    };
+    const row rows[] = {
+        {"warm", {true, 0ms, false}, true, true},
+        {"cold", {true, 3s, false}, false, false},
+        {"refused", {false, 0ms, false}, false, true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        check_driver d(false, 295, 7.6); // without a part of the cold rate
+        const auto first = d.open().attempt;
+        const auto out =
+            d.handle(request::attempt_connected{first, r.check, true});
+        CHECK((find<request::send_attempt>(out) != nullptr) == r.sent);
+        CHECK((find<open_attempt>(d.arrive()) != nullptr) == r.later);
+    }
+}
+
 TEST_CASE("targets are checked for peers only where they are known") {
     struct row {
         const char* name;
@@ -140,9 +173,9 @@
         std::optional<std::string> path;
     };
     const row rows[] = {
-        {"known", {base::target_id("t-1"), {"10.0.0.1", 80}}, "/health"},
-        {"another address", {base::target_id("t-1"), {"10.0.0.2", 80}}, {}},
-        {"another target", {base::target_id("t-0"), {"10.0.0.1", 80}}, {}},
+        {"known", {base::target_id("t-0"), {"10.0.0.1", 80}}, "/health"},
+        {"another address", {base::target_id("t-0"), {"10.0.0.2", 80}}, {}},
+        {"another target", {base::target_id("t-1"), {"10.0.0.1", 80}}, {}},
         {"none", {}, {}},
     };
     const check_driver d(false);
--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -334,6 +334,8 @@
         double slowdown = 1;
         bool sent = false;
         bool unchecked = false; // if a connection is opened
+        // The check was refused, so that the process may be cold.
+        bool check_refused = false;
     };
 
     // Empty without a tenant.
@@ -438,7 +440,7 @@
     [[nodiscard]] std::vector<base::endpoint>
     check_peers_for(const fleet::target& t) const;
     // Takes in what a target said when a connection to it was opened.
-    void note_check(const ongoing_attempt& a, const request::target_check& c,
+    void note_check(ongoing_attempt& a, const request::target_check& c,
                     base::time_point now, effects& out);
     // Another target owns the address of this one.
     void note_misaddressed(const base::target_id& target,
--- a/pollenreel/dispatch/core_attempts.cpp
+++ b/pollenreel/dispatch/core_attempts.cpp
@@ -230,7 +230,7 @@
     return path.empty() ? std::nullopt : std::optional(std::move(path));
 }
 
-void core::note_check(const ongoing_attempt& a, const request::target_check& c,
+void core::note_check(ongoing_attempt& a, const request::target_check& c,
                       base::time_point now, effects& out) {
     ++m_counters.checks;
     const auto& service_id = m_pending.at(a.request).service;
@@ -242,9 +242,13 @@
     if (target == nullptr || service == nullptr) {
         return;
     }
+    if (!c.tells) {
+        // Says nothing of the process that open connections lead to.
+        a.check_refused = true;
+        return;
+    }
     auto& state = m_target_states.at(a.target);
-    // A target that does not tell may have started just now.
-    state.on_checked(c.tells ? c.cold_for : service->cold_time, now);
+    state.on_checked(c.cold_for, now);
     const auto until =
         state.cold_until(target->cold_until, m_options.max_report_age);
     if (until > now && target->cold_until <= now) {
@@ -301,8 +305,12 @@
     // The attempt itself is among those of the last second.
     const auto others =
         std::max<std::size_t>(1, state.sent_last_second(now)) - 1;
-    return target != nullptr && !state.backs_off_until(a.incarnation, now) &&
-           !is_cold_quota_exhausted(*target, state, others, now);
+    if (target == nullptr || state.backs_off_until(a.incarnation, now)) {
+        return false;
+    }
+    return a.check_refused
+               ? others < cold_quota_at(*target, now)
+               : !is_cold_quota_exhausted(*target, state, others, now);
 }
 
 void core::on(const request::attempt_connect_failed& e, base::time_point now,
