Divide a target's connections among the instances that send to it

Targets reset connections over their limit, and requests with them. An outage shortens the list of instances while those that it drops go on sending, and each listed one took its part of the limit for a smaller fleet.

The limit is divided as cold quotas are, counting instances for a minute after they left the list. The test's row 'just gone' failed before: 100 of 100 connections in place of 12.

--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -567,7 +567,7 @@
     }
     connection_query q;
     q.limit = service == nullptr ? 1 : service->connection_limit;
-    q.instances = m_view->instances.size();
+    q.instances = m_sending_instances.size();
     if (m_options.limits.hold_connections) {
         q.occupancy = s.occupancy(now);
         q.slots = t.slots;
--- a/pollenreel/dispatch/restarted_target_test.cpp
+++ b/pollenreel/dispatch/restarted_target_test.cpp
@@ -134,6 +134,34 @@
     CHECK(find<open_attempt>(d.arrive()) != nullptr);
 }
 
+// An outage shortened the list, and each listed instance took the connections
+// of a target for a smaller fleet.
+TEST_CASE("instances that leave the list keep their part of the connections") {
+    struct row {
+        const char* name;
+        base::duration missing;
+        std::uint32_t connections; // of 100
+    };
+    const row rows[] = {
+        {"still listed", 0s, 12},
+        {"just gone", 100ms, 12},
+        {"gone for good", 61s, 100},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        driver d(true, 1);
+        d.publish(true, 1, {}, 1, true, 7);
+        if (r.missing > 0s) {
+            d.publish(true, 1, {}, 1, true, 0);
+            d.now += r.missing;
+            d.publish(true, 1, {}, 1, true, 0);
+        }
+        const auto out = d.arrive();
+        REQUIRE(find<open_attempt>(out) != nullptr);
+        CHECK(find<open_attempt>(out)->open.max_connections == r.connections);
+    }
+}
+
 // While the store turned instances away they went on sending. Those that it
 // still served dropped them from the list, and each took all for itself.
 TEST_CASE("instances that leave the list keep their part of the cold rate") {
