--- a/pollenreel/dispatch/core.cpp
+++ b/pollenreel/dispatch/core.cpp
@@ -478,24 +478,6 @@
     }
 }
 
-std::vector<base::endpoint>
-core::check_peers_for(const fleet::target& t) const {
-    const auto found = m_check_peers.find(t.region);
-    return found == m_check_peers.end()
-               ? std::vector<base::endpoint>()
-               : order_check_peers(found->second, t.id);
-}
-
-std::vector<base::endpoint> core::check_peers() const {
-    std::vector<base::endpoint> all;
-    for (const auto& [region, peers] : m_check_peers) {
-        for (const auto& p : peers) {
-            all.push_back(p.at);
-        }
-    }
-    return all;
-}
-
 void core::note_restarts(base::time_point now, effects& out) {
     for (const auto& t : m_view->targets) {
         const auto known = m_target_states.find(t.id);
