--- /dev/null
+++ b/pollenreel/http/response_test.cpp
@@ -0,0 +1,107 @@
+// What the clients take for a response, against RFC 9110 and RFC 9112.
+#include "pollenreel/http/client_connection.hpp"
+#include "pollenreel/http/client_stream.hpp"
+#include "testing/raw_server.hpp"
+#include "testing/response_forms.hpp"
+#include "testing/response_reader.hpp"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+
+namespace {
+
+using namespace pollenreel;
+using namespace std::chrono_literals;
+using testing::after_reply;
+using testing::raw_reply;
+using testing::raw_server;
+
+constexpr auto no_time_out = 5s;
+
+struct ended_exchange {
+    std::optional<http::response> response; // nullopt: a failure
+    bool reusable = false;
+};
+
+ended_exchange exchange(const base::endpoint& to, http::request r) {
+    boost::asio::io_context io;
+    http::client_connection c(io);
+    ended_exchange out;
+    c.connect(to, 1s, [&](const base::result<void>& up) {
+        REQUIRE(up.has_value());
+        http::answer_terms terms;
+        terms.allow_close_delimited = true;
+        c.exchange(
+            std::move(r), {}, no_time_out,
+            [&](base::result<http::response> a) {
+                if (a) {
+                    out.response = std::move(a.value());
+                }
+                out.reusable = c.reusable();
+                c.close();
+            },
+            terms);
+    });
+    io.run();
+    return out;
+}
+
+// What a stream delivered until it ended.
+std::string stream(const base::endpoint& to) {
+    boost::asio::io_context io;
+    http::client_stream s(io);
+    std::string got;
+    s.open(to, {}, 1s,
+           {[&](std::string_view bytes) { got += bytes; },
+            [](const base::failure&) {}});
+    io.run_for(no_time_out);
+    return got;
+}
+
+bool has_sound_head(const testing::response_form& f) {
+    const auto bytes = testing::with_fields(f.bytes, "");
+    const auto head = bytes.substr(0, bytes.find("\r\n\r\n") + 4);
+    const auto r =
+        testing::read_response(head, "GET", testing::stream_state::open);
+    return !std::holds_alternative<testing::invalid_response>(r);
+}
+
+} // namespace
+
+TEST_CASE("a connection delivers what HTTP calls a whole response") {
+    for (const auto& f : testing::response_forms()) {
+        CAPTURE(f.name);
+        const raw_server target([&](const std::string&) {
+            return raw_reply{testing::with_fields(f.bytes, "X-Id: 1\r\n"),
+                             f.then};
+        });
+        const auto got = exchange(target.at(), {"POST", "/", {}, "body"});
+        CHECK(got.response.has_value() == f.expected.has_value());
+        if (got.response && f.expected) {
+            CHECK(got.response->status == f.expected->status);
+            CHECK(got.response->body == f.expected->body);
+            CHECK(http::find(got.response->headers, "X-Id") == "1");
+        } else {
+            CHECK_FALSE(got.reusable);
+        }
+    }
+}
+
+TEST_CASE("a stream delivers nothing of what has no response's head") {
+    for (const auto& f : testing::response_forms()) {
+        CAPTURE(f.name);
+        const raw_server server([&](const std::string&) {
+            const auto then =
+                f.then == after_reply::keeps ? after_reply::closes : f.then;
+            return raw_reply{testing::with_fields(f.bytes, ""), then};
+        });
+        const auto got = stream(server.at());
+        if (f.expected && f.expected->status == 200) {
+            CHECK(got == f.expected->body);
+        } else if (f.expected || !has_sound_head(f)) {
+            CHECK(got == "");
+        }
+    }
+}
--- a/testing/fleet.cpp
+++ b/testing/fleet.cpp
@@ -35,6 +35,12 @@
     return list;
 }
 
+std::vector<base::endpoint> target_endpoints(const fleet_options& o) {
+    return o.shared_target
+               ? std::vector<base::endpoint>(o.targets, *o.shared_target)
+               : free_endpoints(o.targets);
+}
+
 json::object region(const std::string& name) {
     return {{"id", name}, {"failure_domains", json::array{name + "-a"}}};
 }
@@ -97,12 +103,12 @@
                                : WEXITSTATUS(status);
 }
 
-fleet::fleet(fleet_options o)
+fleet::fleet(const fleet_options& o)
     : m_options(o), m_folder(new_folder()), m_platform(free_endpoint()),
       m_callers(free_endpoints(o.instances)),
       m_operators(free_endpoints(o.instances)),
-      m_peers(free_endpoints(o.instances)),
-      m_targets(free_endpoints(o.targets)), m_daemons(o.instances) {}
+      m_peers(free_endpoints(o.instances)), m_targets(target_endpoints(o)),
+      m_daemons(o.instances) {}
 
 fleet::~fleet() {
     m_daemons.clear();
@@ -115,7 +121,8 @@
     m_standins.push_back(std::make_unique<process>(
         PLATFORM_STANDIN, std::vector{m_platform.str()},
         m_folder / "platform.log"));
-    for (const auto& t : m_targets) {
+    for (const auto& t :
+         m_options.shared_target ? std::vector<base::endpoint>() : m_targets) {
         m_standins.push_back(std::make_unique<process>(
             TARGET_STANDIN,
             std::vector<std::string>{
--- a/testing/fleet.hpp
+++ b/testing/fleet.hpp
@@ -26,6 +26,8 @@
     std::chrono::milliseconds service_time{5};
     // Two regions, khomas and erongo, take turns among instances and targets.
     bool two_regions = false;
+    // Declared for every target in place of stand-ins of their own.
+    std::optional<base::endpoint> shared_target{};
 };
 
 // One process.
@@ -52,7 +54,7 @@
 
 class fleet {
 public:
-    explicit fleet(fleet_options o);
+    explicit fleet(const fleet_options& o);
     fleet(const fleet&) = delete;
     fleet& operator=(const fleet&) = delete;
     ~fleet();
