Refuse status codes that HTTP does not define

Callers saw: a target in trouble sent an answer whose status was 000, and callers got it as an answer, from both programs; 099, 600 and 999 alike.

Cause: Boost.Beast reads three digits as a status code, whatever they are, and client_connection delivered what it read. RFC 9110 (section 15) calls codes outside 100 to 599 invalid.

Change: internal/response_check judges the head of a response before anything is done with it; such a code is malformed_message. The attempt ends like at other malformed answers: the connection is reset, what may be repeated is repeated, all else is answered 502.

Evidence: the rows added to testing/response_forms failed before: 5 of 5 forms were delivered by a connection (one with a reset behind the answer, which changed nothing), by pollenreel_entry on safe and unsafe routes and by pollenreeld. All pass now.

--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -3,6 +3,7 @@
 #include "pollenreel/http/error.hpp"
 #include "pollenreel/http/internal/body_memory.hpp"
 #include "pollenreel/http/internal/reset_on_close.hpp"
+#include "pollenreel/http/internal/response_check.hpp"
 #include "pollenreel/http/internal/sent_bytes.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -279,10 +280,31 @@
         bhttp::async_read_header(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](beast::error_code e, std::size_t) {
-                self->on_read(e);
+                self->on_head(e);
             });
     }
 
+    void on_head(beast::error_code e) {
+        if (m_closed) {
+            return;
+        }
+        if (e) {
+            return finish(read_failure(e));
+        }
+        if (const auto sound = internal::check_head(m_parser->get()); !sound) {
+            return finish(sound.error());
+        }
+        if (m_parser->need_eof() && !m_terms.allow_close_delimited) {
+            return finish(
+                base::failure{make_error_code(error::incomplete_message),
+                              "the answer does not say how long it is"});
+        }
+        if (!m_parser->is_done()) {
+            return read_body();
+        }
+        on_answer();
+    }
+
     void read_body() {
         if (!is_length_known() &&
             !m_memory->make_room(m_parser->get().body(), m_buffer.max_size())) {
@@ -291,11 +313,11 @@
         bhttp::async_read_some(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](beast::error_code e, std::size_t) {
-                self->on_read(e);
+                self->on_body(e);
             });
     }
 
-    void on_read(beast::error_code e) {
+    void on_body(beast::error_code e) {
         if (m_closed) {
             return;
         }
@@ -305,11 +327,6 @@
         if (!m_memory->count(m_parser->get().body(), is_length_known())) {
             return finish(no_memory());
         }
-        if (m_parser->need_eof() && !m_terms.allow_close_delimited) {
-            return finish(
-                base::failure{make_error_code(error::incomplete_message),
-                              "the answer does not say how long it is"});
-        }
         if (!m_parser->is_done()) {
             return read_body();
         }
--- a/testing/response_forms.cpp
+++ b/testing/response_forms.cpp
@@ -28,6 +28,14 @@
 // RFC 9112, section 4; RFC 9110, section 15.
 forms broken_status_lines() {
     return {
+        {"status 000", with_status("000 None"), after_reply::keeps, {}},
+        {"status 000, then a reset",
+         with_status("000 None"),
+         after_reply::resets,
+         {}},
+        {"status 099", with_status("099 None"), after_reply::keeps, {}},
+        {"status 600", with_status("600 None"), after_reply::keeps, {}},
+        {"status 999", with_status("999 None"), after_reply::keeps, {}},
         {"a status of two digits",
          with_status("20 OK"),
          after_reply::closes,
