Take interim responses for what precedes a response

Callers saw: of a target that sends 100 or 103 with the request's id and then its response, callers of pollenreel_entry got the interim response as the answer. One that held a refusal (Not-Executed) was taken for it: the caller was told 503, "not run", of a request that ran, and one that is not idempotent ran twice. 101, which nobody asks for, was an answer too. pollenreeld failed requests with 502 whose response came behind an interim one, and so did calls of the store, relays and operators.

Cause: Boost.Beast's parser is done at the end of any 1xx head. client_connection delivered it; where answers are matched by their id, one without an id was dropped like another request's answer, which also gave the connection up and ended at the fifth.

Change: check_head tells interim responses from final ones. The connection and the stream read on behind up to 32 of them and keep nothing of them. 101, and success to CONNECT, are malformed: what follows them is no HTTP (RFC 9110, sections 15.2 and 9.3.6).

--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -120,6 +120,7 @@
         m_memory.emplace(m_terms.budget);
         m_limits = l;
         m_strays = 0;
+        m_interims = 0;
         m_reusable = false;
         m_answer_owed = true;
         // Bounds what is not part of the body, such as chunk extensions.
@@ -291,8 +292,18 @@
         if (e) {
             return finish(read_failure(e));
         }
-        if (const auto sound = internal::check_head(m_parser->get()); !sound) {
-            return finish(sound.error());
+        const auto kind =
+            internal::check_head(m_parser->get(), m_request->method());
+        if (!kind) {
+            return finish(kind.error());
+        }
+        if (kind.value() == internal::response_kind::interim) {
+            if (++m_interims > internal::max_interim_responses) {
+                return finish(
+                    base::failure{make_error_code(error::malformed_message),
+                                  "too many interim responses"});
+            }
+            return read_answer();
         }
         if (m_parser->need_eof() && !m_terms.allow_close_delimited) {
             return finish(
@@ -389,6 +400,7 @@
     limits m_limits;
     std::optional<internal::body_memory> m_memory; // of this exchange
     int m_strays = 0;       // answers to other requests, in this exchange
+    int m_interims = 0;     // interim responses, in this exchange
     bool m_writing = false; // the request, or writing it failed
     // An exchange began and its answer has not come whole.
     bool m_answer_owed = false;
--- a/pollenreel/http/client_stream.cpp
+++ b/pollenreel/http/client_stream.cpp
@@ -2,6 +2,7 @@
 
 #include "pollenreel/http/error.hpp"
 #include "pollenreel/http/internal/reset_on_close.hpp"
+#include "pollenreel/http/internal/response_check.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -11,6 +12,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <optional>
 #include <utility>
 
 namespace pollenreel::http {
@@ -45,7 +47,6 @@
         }
         m_request.body() = r.body;
         m_request.prepare_payload();
-        m_parser.body_limit(boost::none);
         // Bounds what is not part of the body, such as chunk extensions.
         m_buffer.max_size(largest_buffer);
         beast::error_code bad;
@@ -92,10 +93,16 @@
         if (e) {
             return end(error::connection_lost, e.message());
         }
+        read_header();
+    }
+
+    void read_header() {
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
         bhttp::async_read_header(
-            m_stream, m_buffer, m_parser,
-            [self = shared_from_this()](beast::error_code e2, std::size_t) {
-                self->on_header(e2);
+            m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](beast::error_code e, std::size_t) {
+                self->on_header(e);
             });
     }
 
@@ -108,9 +115,21 @@
                                                   : error::connection_lost,
                        e.message());
         }
-        if (m_parser.get().result() != bhttp::status::ok) {
+        const auto& head = m_parser->get();
+        const auto kind = internal::check_head(head, m_request.method());
+        if (!kind) {
+            return end(error::malformed_message, kind.error().detail);
+        }
+        if (kind.value() == internal::response_kind::interim) {
+            if (++m_interims > internal::max_interim_responses) {
+                return end(error::malformed_message,
+                           "too many interim responses");
+            }
+            return read_header();
+        }
+        if (head.result() != bhttp::status::ok) {
             return end(error::malformed_message,
-                       std::to_string(m_parser.get().result_int()));
+                       std::to_string(head.result_int()));
         }
         m_stream.expires_never();
         read();
@@ -118,7 +137,7 @@
 
     void read() {
         bhttp::async_read_some(
-            m_stream, m_buffer, m_parser,
+            m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](beast::error_code e, std::size_t) {
                 self->on_read(e);
             });
@@ -128,7 +147,7 @@
         if (m_closed) {
             return;
         }
-        const auto bytes = std::exchange(m_parser.get().body(), {});
+        const auto bytes = std::exchange(m_parser->get().body(), {});
         if (!bytes.empty()) {
             // The callback may close this stream.
             const auto received = m_on.received;
@@ -137,8 +156,8 @@
         if (m_closed) {
             return;
         }
-        if (e || m_parser.is_done()) {
-            if (m_parser.is_done()) {
+        if (e || m_parser->is_done()) {
+            if (m_parser->is_done()) {
                 internal::set_reset_on_close(m_stream.socket(), false);
             }
             return end(error::connection_lost, e.message());
@@ -156,7 +175,8 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     bhttp::request<bhttp::string_body> m_request;
-    bhttp::response_parser<bhttp::string_body> m_parser;
+    std::optional<bhttp::response_parser<bhttp::string_body>> m_parser;
+    int m_interims = 0; // interim responses
     callbacks m_on;
     std::chrono::milliseconds m_timeout{};
     bool m_closed = false;
--- a/pollenreel/http/internal/response_check.hpp
+++ b/pollenreel/http/internal/response_check.hpp
@@ -6,13 +6,24 @@
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/verb.hpp>
 
 namespace pollenreel::http::internal {
 
+enum class response_kind {
+    interim, // 1xx: another response follows
+    final,
+};
+
+// Before a final response; more of them are malformed.
+constexpr int max_interim_responses = 32;
+
 using response_head =
     boost::beast::http::response_header<boost::beast::http::fields>;
 
-// Fails with malformed_message if the status code is invalid.
-[[nodiscard]] base::result<void> check_head(const response_head& head);
+// `method`: of the request. Fails with malformed_message if the status code is
+// invalid, or if the connection would change its protocol.
+[[nodiscard]] base::result<response_kind>
+check_head(const response_head& head, boost::beast::http::verb method);
 
 } // namespace pollenreel::http::internal
--- a/pollenreel/http/response_test.cpp
+++ b/pollenreel/http/response_test.cpp
@@ -83,12 +83,60 @@
             CHECK(got.response->status == f.expected->status);
             CHECK(got.response->body == f.expected->body);
             CHECK(http::find(got.response->headers, "X-Id") == "1");
+            // Of an interim response.
+            CHECK_FALSE(http::find(got.response->headers, "Link"));
         } else {
             CHECK_FALSE(got.reusable);
         }
     }
 }
 
+TEST_CASE("what a response may hold depends on the request's method") {
+    struct row {
+        std::string name;
+        const char* method;
+        std::string bytes;
+        std::optional<std::string> expected; // the body
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const row rows[] = {
+        {"HEAD, with a length", "HEAD", ok + "Content-Length: 9\r\n\r\n", ""},
+        {"HEAD, with chunks announced", "HEAD",
+         ok + "Transfer-Encoding: chunked\r\n\r\n", ""},
+        {"HEAD, without a length", "HEAD", ok + "\r\n", ""},
+        {"CONNECT, a tunnel", "CONNECT", ok + "\r\n", {}},
+        {"CONNECT, a tunnel with a length",
+         "CONNECT",
+         ok + "Content-Length: 2\r\n\r\nok",
+         {}},
+        {"CONNECT, refused", "CONNECT",
+         "HTTP/1.1 405 No\r\nContent-Length: 2\r\n\r\nno", "no"},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        const raw_server target([&](const std::string&) {
+            return raw_reply{r.bytes, after_reply::keeps};
+        });
+        const auto got = exchange(target.at(), {r.method, "/", {}, ""});
+        CHECK(got.response.has_value() == r.expected.has_value());
+        if (got.response && r.expected) {
+            CHECK(got.response->body == *r.expected);
+        }
+    }
+}
+
+TEST_CASE("interim responses without end are cut off") {
+    std::string many;
+    while (many.size() < 100'000) {
+        many += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    const raw_server target([&](const std::string&) {
+        return raw_reply{many + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                         after_reply::closes};
+    });
+    CHECK_FALSE(exchange(target.at(), {}).response.has_value());
+}
+
 TEST_CASE("a stream delivers nothing of what has no response's head") {
     for (const auto& f : testing::response_forms()) {
         CAPTURE(f.name);
--- a/testing/response_forms.cpp
+++ b/testing/response_forms.cpp
@@ -11,6 +11,7 @@
 const std::string ok_line = "HTTP/1.1 200 OK\r\n";
 const std::string length_2 = "Content-Length: 2\r\n";
 const std::string chunked = "Transfer-Encoding: chunked\r\n";
+const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string message(const std::string& status_line, const std::string& fields,
                     const std::string& body) {
@@ -83,6 +84,40 @@
     };
 }
 
+// RFC 9110, section 15.2: they come before a final response and are none.
+forms broken_interim_responses() {
+    const std::string named = message("HTTP/1.1 100 Continue\r\n", "", "");
+    return {
+        {"100 alone", named, after_reply::closes, {}},
+        {"100 alone, then a reset", named, after_reply::resets, {}},
+        {"103 with a body alone",
+         message("HTTP/1.1 103 Early Hints\r\n", length_2, "ok"),
+         after_reply::closes,
+         {}},
+        {"199 alone",
+         message("HTTP/1.1 199 Other\r\n", "", ""),
+         after_reply::closes,
+         {}},
+        {"101, which nobody asked for",
+         message("HTTP/1.1 101 Switching Protocols\r\n", "Upgrade: x\r\n", ""),
+         after_reply::closes,
+         {}},
+        {"101, then a whole response",
+         message("HTTP/1.1 101 Switching Protocols\r\n", "Upgrade: x\r\n", "") +
+             ok(length_2),
+         after_reply::closes,
+         {}},
+        {"100, then status 000",
+         interim + with_status("000 None"),
+         after_reply::keeps,
+         {}},
+        {"100, then half a head",
+         interim + ok_line + "@Content-Le",
+         after_reply::closes,
+         {}},
+    };
+}
+
 std::string with_name(const std::string& line) {
     return ok(line + "\r\n" + length_2);
 }
@@ -304,6 +339,18 @@
          with_name("!#$%&'*+-.^_`|~09azAZ: 1"), after_reply::keeps, whole},
         {"a folded value", with_name("X-Y: a\r\n b"), after_reply::keeps,
          whole},
+        {"100 first", interim + ok(length_2), after_reply::keeps, whole},
+        {"100 that names the request first",
+         message("HTTP/1.1 100 Continue\r\n", "", "") + ok(length_2),
+         after_reply::keeps, whole},
+        {"103 and others first",
+         "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 102 "
+         "Processing\r\n\r\nHTTP/1.1 199 Other\r\n\r\n" +
+             interim + interim + interim + ok(length_2),
+         after_reply::keeps, whole},
+        {"100 with a length of zero first",
+         "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" + ok(length_2),
+         after_reply::keeps, whole},
         {"204", message("HTTP/1.1 204 No Content\r\n", "", ""),
          after_reply::keeps, response_form::delivered{204, ""}},
         {"204 with a length of zero",
@@ -326,9 +373,9 @@
 const std::vector<response_form>& response_forms() {
     static const forms all = [] {
         forms list;
-        for (auto part :
-             {broken_status_lines(), broken_fields(), broken_lengths(),
-              broken_chunks(), sound_responses()}) {
+        for (auto part : {broken_status_lines(), broken_interim_responses(),
+                          broken_fields(), broken_lengths(), broken_chunks(),
+                          sound_responses()}) {
             for (auto& f : part) {
                 list.push_back(std::move(f));
             }
