Refuse bodies in transfer codings that are not spoken

Callers saw: a body in a coding that nobody on the way decodes, passed on as it came, with the field that named the coding taken off; the lines of chunks in place of a body ("chunked" in quotes, with a parameter, twice, or beside another word); of a 204 with a body no body.

Cause: Boost.Beast knows the chunked coding where it comes last and passes over any other, so that a body in one is measured by Content-Length or by the end of the connection. Transfer-Encoding concerns one connection and is not passed on.

Change: by RFC 9112 (sections 6.1 and 6.3) a response with Transfer-Encoding is malformed unless that is chunked, alone, in HTTP/1.1 and without a length beside it; so are 204 and interim responses with a coding or a length above zero, which cannot have a body. Responses to HEAD and 304 may name a coding, as they have no body to decode.

--- a/pollenreel/http/internal/response_check.hpp
+++ b/pollenreel/http/internal/response_check.hpp
@@ -22,7 +22,8 @@
     boost::beast::http::response_header<boost::beast::http::fields>;
 
 // `method`: of the request. Fails with malformed_message if the status code is
-// invalid, or if the connection would change its protocol.
+// invalid, if the connection would change its protocol, or if the body is of a
+// length or in a transfer coding that it cannot have.
 [[nodiscard]] base::result<response_kind>
 check_head(const response_head& head, boost::beast::http::verb method);
 
--- a/pollenreel/http/response_test.cpp
+++ b/pollenreel/http/response_test.cpp
@@ -103,6 +103,8 @@
         {"HEAD, with a length", "HEAD", ok + "Content-Length: 9\r\n\r\n", ""},
         {"HEAD, with chunks announced", "HEAD",
          ok + "Transfer-Encoding: chunked\r\n\r\n", ""},
+        {"HEAD, with a coding that is not spoken", "HEAD",
+         ok + "Transfer-Encoding: gzip, chunked\r\n\r\n", ""},
         {"HEAD, without a length", "HEAD", ok + "\r\n", ""},
         {"CONNECT, a tunnel", "CONNECT", ok + "\r\n", {}},
         {"CONNECT, a tunnel with a length",
--- a/testing/response_forms.cpp
+++ b/testing/response_forms.cpp
@@ -107,6 +107,10 @@
              ok(length_2),
          after_reply::closes,
          {}},
+        {"100 with a transfer coding",
+         "HTTP/1.1 100 Continue\r\n" + chunked + "\r\n" + ok(length_2),
+         after_reply::closes,
+         {}},
         {"100, then status 000",
          interim + with_status("000 None"),
          after_reply::keeps,
@@ -232,6 +236,75 @@
          ok(chunked + length_2, "2\r\nok\r\n0\r\n\r\n"),
          after_reply::closes,
          {}},
+        {"204 with a body",
+         message("HTTP/1.1 204 No Content\r\n", length_2, "ok"),
+         after_reply::closes,
+         {}},
+        {"204 with chunks",
+         message("HTTP/1.1 204 No Content\r\n", chunked,
+                 "2\r\nok\r\n0\r\n\r\n"),
+         after_reply::closes,
+         {}},
+    };
+}
+
+// RFC 9112, section 6.1: only the chunked coding is spoken here.
+forms broken_codings() {
+    const std::string chunks = "2\r\nok\r\n0\r\n\r\n";
+    const auto body_in = [&](const std::string& coding) {
+        return ok("Transfer-Encoding: " + coding + "\r\n", chunks);
+    };
+    return {
+        {"a coding that is not spoken",
+         body_in("gzip"),
+         after_reply::closes,
+         {}},
+        {"an unknown coding", body_in("x-unknown"), after_reply::closes, {}},
+        {"the identity coding", body_in("identity"), after_reply::closes, {}},
+        {"a coding that is not spoken below chunks",
+         body_in("gzip, chunked"),
+         after_reply::closes,
+         {}},
+        {"the same in two fields",
+         ok("Transfer-Encoding: gzip\r\n" + chunked, chunks),
+         after_reply::closes,
+         {}},
+        {"a coding above chunks",
+         body_in("chunked, gzip"),
+         after_reply::closes,
+         {}},
+        {"chunked twice", body_in("chunked, chunked"), after_reply::closes, {}},
+        {"chunked twice in two fields",
+         ok(chunked + chunked, chunks),
+         after_reply::closes,
+         {}},
+        {"chunked with a parameter",
+         body_in("chunked;a=b"),
+         after_reply::closes,
+         {}},
+        {"chunked in quotes", body_in("\"chunked\""), after_reply::closes, {}},
+        {"a name that ends like chunked",
+         body_in("xchunked"),
+         after_reply::closes,
+         {}},
+        {"two words", body_in("chunked x"), after_reply::closes, {}},
+        {"no coding in the field", body_in(""), after_reply::closes, {}},
+        {"a coding that is not spoken and a length",
+         ok("Transfer-Encoding: gzip\r\n" + length_2),
+         after_reply::closes,
+         {}},
+        {"a length and a coding that is not spoken",
+         ok(length_2 + "Transfer-Encoding: gzip\r\n"),
+         after_reply::closes,
+         {}},
+        {"identity and a length",
+         ok("Transfer-Encoding: identity\r\n" + length_2),
+         after_reply::closes,
+         {}},
+        {"chunks in HTTP/1.0",
+         message("HTTP/1.0 200 OK\r\n", chunked, chunks),
+         after_reply::closes,
+         {}},
     };
 }
 
@@ -374,8 +447,8 @@
     static const forms all = [] {
         forms list;
         for (auto part : {broken_status_lines(), broken_interim_responses(),
-                          broken_fields(), broken_lengths(), broken_chunks(),
-                          sound_responses()}) {
+                          broken_fields(), broken_lengths(), broken_codings(),
+                          broken_chunks(), sound_responses()}) {
             for (auto& f : part) {
                 list.push_back(std::move(f));
             }
