Keep trailers apart from the fields of a response's head

Callers saw: a request whose response held a refusal (Not-Executed) in its trailers was answered 503, "not run", though it had run; an answer whose id and signature stood only in trailers passed for signed; and trailers came as fields of the head.

Cause: Boost.Beast's parser adds the fields of trailers to those of the head. client_connection read all of them once the body was whole. RFC 9110 (section 6.5.1) forbids to merge them unless a field's definition allows it.

Change: the head is taken over as soon as it has been read, before the body. Trailers are still parsed, so that malformed ones end the exchange, and are dropped.

--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -79,14 +79,14 @@
     return fail(error::connection_lost, e);
 }
 
-response to_response(bhttp::response<bhttp::string_body>&& from) {
+// Without the body.
+response to_response(const internal::response_head& from) {
     response r;
     r.status = from.result_int();
     for (const auto& field : from) {
         r.headers.push_back(
             {std::string(field.name_string()), std::string(field.value())});
     }
-    r.body = std::move(from.body());
     return r;
 }
 
@@ -310,6 +310,8 @@
                 base::failure{make_error_code(error::incomplete_message),
                               "the answer does not say how long it is"});
         }
+        // The parser would add the fields of trailers.
+        m_answer = to_response(m_parser->get());
         if (!m_parser->is_done()) {
             return read_body();
         }
@@ -356,13 +358,14 @@
     void on_answer() {
         const bool close_delimited = m_parser->need_eof();
         const bool keep_alive = m_parser->keep_alive();
-        auto got = to_response(m_parser->release());
-        if (m_terms.matches && !m_terms.matches(got)) {
+        m_answer.body = std::move(m_parser->get().body());
+        if (m_terms.matches && !m_terms.matches(m_answer)) {
             if (close_delimited || !keep_alive || ++m_strays > most_strays) {
                 return finish(
                     base::failure{make_error_code(error::malformed_message),
                                   "the answer belongs to another request"});
             }
+            m_answer = {};
             m_memory->release();
             return read_answer();
         }
@@ -375,7 +378,7 @@
         if (m_terms.owner_checks_path) {
             probe_path(false);
         }
-        finish(std::move(got));
+        finish(std::move(m_answer));
     }
 
     void finish(base::result<response> r) {
@@ -394,6 +397,7 @@
     std::string m_host;
     std::optional<bhttp::request<bhttp::string_body>> m_request;
     std::optional<bhttp::response_parser<bhttp::string_body>> m_parser;
+    response m_answer; // as read so far; the body once it is whole
     connected m_connected;
     answered m_answered;
     answer_terms m_terms;
--- a/pollenreel/http/response_test.cpp
+++ b/pollenreel/http/response_test.cpp
@@ -83,7 +83,8 @@
             CHECK(got.response->status == f.expected->status);
             CHECK(got.response->body == f.expected->body);
             CHECK(http::find(got.response->headers, "X-Id") == "1");
-            // Of an interim response.
+            // Of a trailer, and of an interim response.
+            CHECK_FALSE(http::find(got.response->headers, "X-Trailer"));
             CHECK_FALSE(http::find(got.response->headers, "Link"));
         } else {
             CHECK_FALSE(got.reusable);
--- a/testing/response_forms.cpp
+++ b/testing/response_forms.cpp
@@ -392,6 +392,8 @@
         {"a chunk's extensions",
          ok(chunked, "2;a;b=c;d=\"e f\"\r\nok\r\n0;g\r\n\r\n"),
          after_reply::keeps, whole},
+        {"trailers", ok(chunked, "2\r\nok\r\n0\r\nX-Trailer: 1\r\n\r\n"),
+         after_reply::keeps, whole},
         {"a body that ends with the connection", ok(""), after_reply::closes,
          whole},
         {"the same, half closed", ok(""), after_reply::half_closes, whole},
