Refuse chunk extensions that hold control bytes

Callers saw: an answer whose chunk lines held a bare line feed within a quoted extension, passed on as a whole one.

Cause: Boost.Beast looks for the end of the quotes only. A reader that ends lines there would find other chunks in the same bytes; by RFC 9112 (section 7.1.1) the bytes are no chunk.

Change: the parser hands extensions to a check that takes HTAB, SP and visible or 8-bit bytes, as in quoted strings. The connection and the stream use it.

--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -275,6 +275,7 @@
         m_parser.emplace();
         m_parser->header_limit(m_limits.header_bytes);
         m_parser->body_limit(m_limits.body_bytes);
+        m_parser->on_chunk_header(m_chunk_check);
         if (m_request->method() == bhttp::verb::head) {
             m_parser->skip(true);
         }
@@ -397,6 +398,7 @@
     std::string m_host;
     std::optional<bhttp::request<bhttp::string_body>> m_request;
     std::optional<bhttp::response_parser<bhttp::string_body>> m_parser;
+    internal::chunk_extension_check m_chunk_check;
     response m_answer; // as read so far; the body once it is whole
     connected m_connected;
     answered m_answered;
--- a/pollenreel/http/client_stream.cpp
+++ b/pollenreel/http/client_stream.cpp
@@ -99,6 +99,7 @@
     void read_header() {
         m_parser.emplace();
         m_parser->body_limit(boost::none);
+        m_parser->on_chunk_header(m_chunk_check);
         bhttp::async_read_header(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](beast::error_code e, std::size_t) {
@@ -176,6 +177,7 @@
     beast::flat_buffer m_buffer;
     bhttp::request<bhttp::string_body> m_request;
     std::optional<bhttp::response_parser<bhttp::string_body>> m_parser;
+    internal::chunk_extension_check m_chunk_check;
     int m_interims = 0; // interim responses
     callbacks m_on;
     std::chrono::milliseconds m_timeout{};
--- a/pollenreel/http/internal/response_check.cpp
+++ b/pollenreel/http/internal/response_check.cpp
@@ -6,6 +6,7 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <string>
@@ -101,4 +102,18 @@
     return response_kind::final;
 }
 
+void chunk_extension_check::operator()(std::uint64_t /*size*/,
+                                       boost::beast::string_view extension,
+                                       boost::beast::error_code& e) const {
+    constexpr unsigned char del = 127;
+    const bool has_control =
+        std::any_of(extension.begin(), extension.end(), [](char c) {
+            const auto byte = static_cast<unsigned char>(c);
+            return (byte < ' ' && c != '\t') || byte == del;
+        });
+    if (has_control) {
+        e = bhttp::error::bad_chunk_extension;
+    }
+}
+
 } // namespace pollenreel::http::internal
--- a/pollenreel/http/internal/response_check.hpp
+++ b/pollenreel/http/internal/response_check.hpp
@@ -4,10 +4,14 @@
 
 #include "pollenreel/base/failure.hpp"
 
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/string_type.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/verb.hpp>
 
+#include <cstdint>
+
 namespace pollenreel::http::internal {
 
 enum class response_kind {
@@ -27,4 +31,10 @@
 [[nodiscard]] base::result<response_kind>
 check_head(const response_head& head, boost::beast::http::verb method);
 
+// For the parser's on_chunk_header.
+struct chunk_extension_check {
+    void operator()(std::uint64_t size, boost::beast::string_view extension,
+                    boost::beast::error_code& e) const;
+};
+
 } // namespace pollenreel::http::internal
