Tell a reset from the orderly end of a body without a length

Callers saw: a target answered a long upload at once with a 200 that named no length, sent part of its body and reset the connection while the upload was still being written. Callers of pollenreel_entry got that part as a whole body.

Cause: the kernel reports a reset to one operation on a socket. The write that was under way got it; the read that followed returned an end of the stream, like after an orderly close, and that is where a body without a length ends.

Change: at the end of such a body the state of the TCP connection decides. It is CLOSE-WAIT after an orderly close of the other side only, and CLOSE after a reset or a time-out, whichever operation was told. This costs one system call for each response without a length, and nothing for others. A reset ends the attempt as incomplete_message.

--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "pollenreel/http/error.hpp"
 #include "pollenreel/http/internal/body_memory.hpp"
+#include "pollenreel/http/internal/orderly_close.hpp"
 #include "pollenreel/http/internal/reset_on_close.hpp"
 #include "pollenreel/http/internal/response_check.hpp"
 #include "pollenreel/http/internal/sent_bytes.hpp"
@@ -344,6 +345,12 @@
         if (!m_parser->is_done()) {
             return read_body();
         }
+        if (m_parser->need_eof() &&
+            !internal::is_closed_in_order(m_stream.socket().native_handle())) {
+            return finish(
+                base::failure{make_error_code(error::incomplete_message),
+                              "the connection was reset"});
+        }
         on_answer();
     }
 
--- a/pollenreel/http/response_test.cpp
+++ b/pollenreel/http/response_test.cpp
@@ -140,6 +140,63 @@
     CHECK_FALSE(exchange(target.at(), {}).response.has_value());
 }
 
+// The reset was reported to the write that was under way, and the read that
+// followed took the end of the connection for an orderly one.
+TEST_CASE("a response during an upload is whole or a failure") {
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    struct row {
+        std::string name;
+        std::string bytes;
+        after_reply then;
+        std::optional<std::string> expected; // the body
+    };
+    const row rows[] = {
+        {"no length, then a reset", ok + "\r\npart", after_reply::resets, {}},
+        {"no length and no body, then a reset",
+         ok + "\r\n",
+         after_reply::resets,
+         {}},
+        {"HTTP/1.0, then a reset",
+         "HTTP/1.0 200 OK\r\n\r\npart",
+         after_reply::resets,
+         {}},
+        {"part of a length, then a reset",
+         ok + "Content-Length: 9\r\n\r\npart",
+         after_reply::resets,
+         {}},
+        {"part of the chunks, then a reset",
+         ok + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+         after_reply::resets,
+         {}},
+        {"no length, then an orderly end", ok + "\r\nwhole",
+         after_reply::half_closes, "whole"},
+        {"a length", ok + "Content-Length: 5\r\n\r\nwhole", after_reply::keeps,
+         "whole"},
+        {"a length, then a reset", ok + "Content-Length: 5\r\n\r\nwhole",
+         after_reply::resets, "whole"},
+        {"chunks",
+         ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+         after_reply::keeps, "whole"},
+    };
+    constexpr std::size_t upload_bytes = 12'000'000;
+    constexpr int times = 10;
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        const raw_server target([&](const std::string&) {
+            return raw_reply{r.bytes, r.then, true, 30ms};
+        });
+        for (int i = 0; i < times; ++i) {
+            const auto got = exchange(
+                target.at(), {"POST", "/", {}, std::string(upload_bytes, 'u')});
+            CHECK(got.response.has_value() == r.expected.has_value());
+            if (got.response && r.expected) {
+                CHECK(got.response->body == *r.expected);
+            }
+            CHECK_FALSE(got.reusable);
+        }
+    }
+}
+
 TEST_CASE("a stream delivers nothing of what has no response's head") {
     for (const auto& f : testing::response_forms()) {
         CAPTURE(f.name);
