Name no length in responses that have no body by their status

Callers saw: an answer 204 of a target came with "Content-Length: 0", which RFC 9110 (section 8.6) forbids for 204; in 304 it says that the representation is empty.

Cause: Boost.Beast's prepare_payload names the length of any body, also of one that cannot be.

Change: the server does not call it for 204 and 304, as for HEAD.

Evidence: 2 checks of the test failed before; it also shows that the connection serves on. The reader of the tests is one of their own.

--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -24,6 +24,8 @@
 // Beast's default for a read.
 constexpr std::size_t beast_read_size = 65'536;
 constexpr unsigned unavailable = 503;
+constexpr unsigned no_content = 204;
+constexpr unsigned not_modified = 304;
 
 // Without the body.
 request to_request(const bhttp::request<bhttp::string_body>& from,
@@ -52,6 +54,12 @@
     return 400;
 }
 
+// Without a body by their status; a length of zero would be wrong for 304, and
+// none is allowed for 204 (RFC 9110, section 8.6).
+bool is_bodiless(unsigned status) {
+    return status == no_content || status == not_modified;
+}
+
 bool ends_connection(const beast::error_code& e) {
     return e == bhttp::error::end_of_stream ||
            e == bhttp::error::partial_message || e == asio::error::eof ||
@@ -399,7 +407,8 @@
         m_answer->insert(h.name, h.value);
     }
     m_answer->keep_alive(first->keep_alive && !(m_stopping && last));
-    if (!first->head) { // an answer to HEAD has no body, nor our length for it
+    // An answer to HEAD has no body either, nor our length for it.
+    if (!first->head && !is_bodiless(r.status)) {
         m_answer->body() = std::move(r.body);
         m_answer->prepare_payload();
     }
--- a/pollenreel/http/response_test.cpp
+++ b/pollenreel/http/response_test.cpp
@@ -1,6 +1,8 @@
-// What the clients take for a response, against RFC 9110 and RFC 9112.
+// What the clients take for a response and what the server writes as one,
+// against RFC 9110 and RFC 9112.
 #include "pollenreel/http/client_connection.hpp"
 #include "pollenreel/http/client_stream.hpp"
+#include "testing/held_server.hpp"
 #include "testing/raw_server.hpp"
 #include "testing/response_forms.hpp"
 #include "testing/response_reader.hpp"
@@ -213,3 +215,37 @@
         }
     }
 }
+
+TEST_CASE("the server names no length where the status allows no body") {
+    struct row {
+        std::string name;
+        const char* method;
+        unsigned status;
+        const char* length; // "": not named
+    };
+    const row rows[] = {
+        {"a response with a body", "GET", 200, "2"},
+        {"204", "GET", 204, ""},
+        {"304", "GET", 304, ""},
+        {"a response to HEAD", "HEAD", 200, ""},
+        {"204 to HEAD", "HEAD", 204, ""},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        testing::held_server s;
+        s.send(std::string(r.method) + " / HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.run_until([&] { return s.answers.size() == 1; });
+        s.answers[0]({r.status, {}, r.status == 200 ? "ok" : ""});
+        const auto bytes = s.receive(1);
+        const auto read = testing::read_response(bytes, r.method,
+                                                 testing::stream_state::open);
+        const auto* whole = std::get_if<testing::whole_response>(&read);
+        REQUIRE(whole != nullptr);
+        CHECK(whole->status == r.status);
+        CHECK(whole->field("Content-Length") == r.length);
+        CHECK(whole->size == bytes.size());
+        // The connection serves on.
+        s.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.run_until([&] { return s.answers.size() == 2; });
+    }
+}
