Play responses that were changed at random against a connection

The table holds the forms that somebody thought of. This test changes a few bytes of them, with eight seeds, and compares what a connection delivers with what a reader of the tests' own finds in the same bytes: a response of that status and body, or none.

--- a/pollenreel/http/response_test.cpp
+++ b/pollenreel/http/response_test.cpp
@@ -1,5 +1,6 @@
 // What the clients take for a response and what the server writes as one,
 // against RFC 9110 and RFC 9112.
+#include "pollenreel/base/random.hpp"
 #include "pollenreel/http/client_connection.hpp"
 #include "pollenreel/http/client_stream.hpp"
 #include "testing/held_server.hpp"
@@ -249,3 +250,72 @@
         s.run_until([&] { return s.answers.size() == 2; });
     }
 }
+
+namespace {
+
+// Responses with a few bytes changed, dropped, added, or taken from another
+// one.
+std::string mutate(std::string bytes, base::random& r) {
+    const std::string alphabet = "\r\n\t :;,=\"01289aAfFxX-+.\x01\x7f\xc3"
+                                 "chunked";
+    const auto& forms = testing::response_forms();
+    const auto times = 1 + r.below(3);
+    for (std::uint64_t i = 0; i < times && !bytes.empty(); ++i) {
+        const auto at = r.below(bytes.size());
+        switch (r.below(4)) {
+        case 0:
+            bytes[at] = alphabet[r.below(alphabet.size())];
+            break;
+        case 1:
+            bytes.erase(at, 1 + r.below(3));
+            break;
+        case 2:
+            bytes.insert(at, 1, alphabet[r.below(alphabet.size())]);
+            break;
+        default:
+            const auto other =
+                testing::with_fields(forms[r.below(forms.size())].bytes, "");
+            const auto from = r.below(other.size());
+            bytes.insert(at, other.substr(from, 1 + r.below(30)));
+            break;
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
+TEST_CASE("what a connection delivers of changed responses is one by HTTP") {
+    constexpr std::uint64_t seeds = 8;
+    constexpr int times = 500;
+    const auto& forms = testing::response_forms();
+    int delivered = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        base::random random(seed);
+        std::string bytes;
+        const raw_server target([&](const std::string&) {
+            return raw_reply{bytes, after_reply::closes};
+        });
+        for (int i = 0; i < times; ++i) {
+            bytes = mutate(testing::with_fields(
+                               forms[random.below(forms.size())].bytes, ""),
+                           random);
+            CAPTURE(bytes);
+            const auto got = exchange(target.at(), {"POST", "/", {}, "body"});
+            const auto read = testing::read_response(
+                bytes, "POST", testing::stream_state::closed);
+            const auto* whole = std::get_if<testing::whole_response>(&read);
+            if (!got.response) {
+                continue;
+            }
+            ++delivered;
+            CHECK(whole != nullptr);
+            if (whole != nullptr) {
+                CHECK(got.response->status == whole->status);
+                CHECK(got.response->body == whole->body);
+            }
+        }
+    }
+    CHECK(delivered > static_cast<int>(seeds) * times / 20);
+}
