--- a/pollenreel/relay/check_client_test.cpp
+++ b/pollenreel/relay/check_client_test.cpp
@@ -4,6 +4,7 @@
 #include "pollenreel/relay/listener.hpp"
 #include "testing/ports.hpp"
 #include "testing/raw_server.hpp"
+#include "testing/response_forms.hpp"
 
 #include <doctest/doctest.h>
 
@@ -119,28 +120,10 @@
 
 TEST_CASE("what is no response of a peer is no check") {
     const auto body = relay::encode(request::target_check{true, 1500ms}).body;
-    const std::string length =
-        "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    const std::string ok = "HTTP/1.1 200 OK\r\n";
-    struct row {
-        std::string name;
-        std::string bytes;
-        bool answered;
-    };
-    const row rows[] = {
-        {"a response", ok + length + "\r\n" + body, true},
-        {"an interim one first",
-         "HTTP/1.1 100 Continue\r\n\r\n" + ok + length + "\r\n" + body, true},
-        {"status 000", "HTTP/1.1 000 None\r\n" + length + "\r\n" + body, false},
-        {"a control byte in a name",
-         ok + "X\x01Y: 1\r\n" + length + "\r\n" + body, false},
-        {"a coding that is not spoken",
-         ok + "Transfer-Encoding: gzip\r\n" + length + "\r\n" + body, false},
-    };
-    for (const auto& r : rows) {
-        CAPTURE(r.name);
+    for (const auto& f : testing::response_forms_with(body)) {
+        CAPTURE(f.name);
         const testing::raw_server server(
-            [&](const std::string&) { return testing::raw_reply{r.bytes}; });
+            [&](const std::string&) { return testing::raw_reply{f.bytes}; });
         boost::asio::io_context io;
         const base::manual_clock clock;
         relay::check_client client(io, clock);
@@ -148,6 +131,6 @@
         client.ask({base::target_id("t-1"), {"10.0.0.1", 8080}}, {server.at()},
                    [&](const auto& check) { got = check; });
         io.run();
-        CHECK(got.has_value() == r.answered);
+        CHECK(got.has_value() == f.expected.has_value());
     }
 }
--- a/testing/response_forms.hpp
+++ b/testing/response_forms.hpp
@@ -26,6 +26,11 @@
 // Responses to a GET, and to a POST whose body was read.
 [[nodiscard]] const std::vector<response_form>& response_forms();
 
+// Some of them with that body, for clients that read its contents and take none
+// that ends with the connection.
+[[nodiscard]] std::vector<response_form>
+response_forms_with(const std::string& body);
+
 // Puts whole lines of fields in place of the mark in a form's bytes.
 [[nodiscard]] std::string with_fields(std::string bytes,
                                       const std::string& fields);
