--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,5 +1,6 @@
-// An upstream is full when a new connection to it is checked, and refuses the
-// check. A place is free by the time the order comes, so it runs the order. The
+// An upstream of another region is full when a new connection to it is checked,
+// and refuses the check. Some request ends there while the refusal is on its
+// way, so that there is room when the order comes, and it runs the order. The
 // refusal of the check comes once more, late, where the order's response is
 // expected.
 #include "rig.hpp"
@@ -9,6 +10,11 @@
 namespace {
 
 constexpr const char* host = "ficu95.example";
+// One way between the instances' region and that of the upstreams.
+constexpr auto distance = 20ms;
+// After the refusal, until one of the requests of others ends. With 9 slots and
+// work of 710 ms one ends every 79 ms on average.
+constexpr auto until_room = 20ms;
 
 string configuration() {
     return text(
@@ -30,8 +36,8 @@
 }
 
 // An upstream of which other callers may take all places. While they do, it
-// refuses whatever comes, health checks too. One of their requests ends right
-// after it has refused a check.
+// refuses whatever comes, health checks too. One of their requests ends
+// `until_room` after it has refused a check.
 class busy_upstream {
 public:
     busy_upstream(store& s, const string& id)
@@ -59,6 +65,10 @@
     }
     const string& id() const { return m_id; }
 
+    void fill() {
+        m_room_at = clock::time_point{};
+        full = true;
+    }
     std::atomic<bool> full{false};
     // The next refusal of a check comes once more, late.
     std::atomic<bool> repeats{false};
@@ -71,7 +81,7 @@
     string entry() const {
         return text("{\"address\":\"127.0.0.1:%d\",\"born\":1765000000000,"
                     "\"information\":{\"service\":\"bench-desk\",\"version\":"
-                    "\"v1\",\"zone\":\"cairo-a\",\"slots\":9},\"status\":{"
+                    "\"v1\",\"zone\":\"alex-a\",\"slots\":9},\"status\":{"
                     "\"state\":\"ready\",\"sequence\":%lld,\"cold_remaining\":"
                     "\"0ms\"}}",
                     m_server.port(),
@@ -84,6 +94,7 @@
         string extra;
         while (!m_server.stopping() &&
                in.read(m, clock::now() + 10s, false) == read_end::message) {
+            std::this_thread::sleep_for(distance);
             const bool is_check = m.path() == "/health";
             const auto id = m.header("Request-Attempt-Id");
             if (!extra.empty()) {
@@ -92,6 +103,7 @@
                      m_id.c_str(), id.c_str());
                 ++extras;
                 ++answers;
+                std::this_thread::sleep_for(distance);
                 if (!send_all(fd, extra)) {
                     return;
                 }
@@ -101,7 +113,7 @@
             if (!is_check && m.header("Expected-Instance") != m_id) {
                 answer = response(421, "Misdirected Request",
                                   "Instance-Id: " + m_id + "\r\n", "");
-            } else if (full) {
+            } else if (is_full()) {
                 // As the pages show it for "(any request)".
                 answer = response(503, "Service Unavailable",
                                   "Not-Executed: 1\r\n", "");
@@ -109,7 +121,7 @@
                 note("%s is full and refuses %s %s %s", m_id.c_str(),
                      m.method().c_str(), m.path().c_str(), id.c_str());
                 if (is_check) {
-                    full = false; // a place is free
+                    m_room_at = clock::now() + until_room;
                     if (repeats.exchange(false)) {
                         extra = answer;
                     }
@@ -137,16 +149,26 @@
                                   "done " + id);
             }
             ++answers;
+            std::this_thread::sleep_for(distance);
             if (!send_all(fd, answer)) {
                 return;
             }
         }
     }
 
+    bool is_full() {
+        const auto room_at = m_room_at.load();
+        if (full && room_at != clock::time_point{} && clock::now() >= room_at) {
+            full = false;
+        }
+        return full;
+    }
+
     string m_id;
     store& m_store;
     std::mutex m_mutex;
     std::map<string, int> m_ran;
+    std::atomic<clock::time_point> m_room_at{clock::time_point{}};
     std::atomic<bool> m_done{false};
     std::thread m_beats;
     server m_server;
@@ -168,12 +190,20 @@
     st.write("op/config", configuration());
     busy_upstream a(st, "i-a");
     busy_upstream b(st, "i-b");
-    entry front("front-cairo-a-1", "cairo-a", "cairo", "cairo-a:cairo",
-                st.port(), {});
-    front.start();
-    if (!eventually(15s, [&] { return front.is_ready(); })) {
-        return cannot_run("the instance is not ready");
+    std::vector<std::unique_ptr<entry>> fronts;
+    for (int i = 1; i <= 8; ++i) {
+        fronts.push_back(std::make_unique<entry>(
+            text("front-cairo-a-%d", i), "cairo-a", "cairo",
+            "cairo-a:cairo,alex-a:alex", st.port(), bounds{}));
+        fronts.back()->start();
+    }
+    if (!eventually(15s, [&] {
+            return std::all_of(fronts.begin(), fronts.end(),
+                               [](const auto& f) { return f->is_ready(); });
+        })) {
+        return cannot_run("an instance is not ready");
     }
+    const auto& front = *fronts.front();
     // It knows the other instances, or that there are none, after 2 s.
     std::this_thread::sleep_for(4s);
 
@@ -190,35 +220,51 @@
     };
     // Look-ups, which make the upstreams' usual answers; they also show which
     // upstream the order of an object goes to.
+    constexpr int lookups_sent = 360;
+    std::atomic<int> lookups{0};
+    std::vector<std::thread> callers;
+    for (int t = 0; t < 8; ++t) {
+        callers.emplace_back([&, t] {
+            for (int i = t; i < lookups_sent; i += 8) {
+                const auto o = send("GET", "/lookup/x", text("lookup-%d", i),
+                                    text("%d", i % 20));
+                lookups += o.status == 200 ? 1 : 0;
+            }
+        });
+    }
+    for (auto& c : callers) {
+        c.join();
+    }
     string key_of_a;
-    int lookups = 0;
-    for (int i = 0; i < 400; ++i) {
-        const auto id = text("lookup-%d", i);
-        const auto key = text("%d", i % 20);
-        const auto o = send("GET", "/lookup/x", id, key);
-        lookups += o.status == 200 ? 1 : 0;
-        if (a.ran().contains(id) && key_of_a.empty()) {
-            key_of_a = key;
+    for (int i = 0; i < 20 && key_of_a.empty(); ++i) {
+        int at_a = 0;
+        for (int n = i; n < lookups_sent; n += 20) {
+            at_a += a.ran().contains(text("lookup-%d", n)) ? 1 : 0;
+        }
+        if (at_a == lookups_sent / 20) {
+            key_of_a = text("%d", i);
         }
     }
-    note("%d of 400 look-ups answered; answers of i-a %d, of i-b %d; object "
-         "%s goes to i-a",
-         lookups, a.answers.load(), b.answers.load(), key_of_a.c_str());
-    if (lookups < 350 || key_of_a.empty()) {
+    note("%d of %d look-ups answered; answers of i-a %d, of i-b %d; object %s "
+         "goes to i-a",
+         lookups.load(), lookups_sent, a.answers.load(), b.answers.load(), key_of_a.c_str());
+    if (lookups < lookups_sent * 9 / 10 || key_of_a.empty()) {
         return cannot_run("look-ups are not served");
     }
 
     std::vector<order> orders;
-    for (int i = 0; i < 2; ++i) {
+    // Not every new connection to another region is checked.
+    for (int i = 0; i < 4; ++i) {
         // Idle connections are too old for an order then, so that it opens one.
-        std::this_thread::sleep_for(1500ms);
-        a.full = true;
-        a.repeats = trouble;
+        std::this_thread::sleep_for(1100ms);
+        a.fill();
+        a.repeats = trouble && a.extras < 2;
         const auto id = text("order-%d", i);
         const auto o = send("POST", "/order/x", id, key_of_a);
         note("client: order %s answered %d", id.c_str(), o.status);
         orders.push_back({id, o.status, 0});
     }
+    a.full = false;
     std::this_thread::sleep_for(1500ms);
     bool broken = false;
     string summary;
