--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -3,7 +3,7 @@
 // way, so that there is room when the order comes, and it runs the order. The
 // refusal of the check comes once more, late, where the order's response is
 // expected.
-#include "rig.hpp"
+#include "rig.h"
 
 using namespace rig;
 
@@ -209,13 +209,13 @@
 
     const auto send = [&](const string& method, const string& path,
                           const string& id, const string& key) {
-        const auto r = text("%s %s HTTP/1.1\r\nHost: %s\r\n"
-                            "Request-Attempt-Id: %s\r\nAffinity-Key: %s\r\n"
-                            "Deadline-Remaining: 4000\r\n%s\r\n%s",
-                            method.c_str(), path.c_str(), host, id.c_str(),
-                            key.c_str(),
-                            method == "POST" ? "Content-Length: 4\r\n" : "",
-                            method == "POST" ? "body" : "");
+        const auto r =
+            text("%s %s HTTP/1.1\r\nHost: %s\r\n"
+                 "Request-Attempt-Id: %s\r\nAffinity-Key: %s\r\n"
+                 "Deadline-Remaining: 4000\r\n%s\r\n%s",
+                 method.c_str(), path.c_str(), host, id.c_str(), key.c_str(),
+                 method == "POST" ? "Content-Length: 4\r\n" : "",
+                 method == "POST" ? "body" : "");
         return ask(front.callers, r, 5s);
     };
     // Look-ups, which make the upstreams' usual answers; they also show which
@@ -247,7 +247,8 @@
     }
     note("%d of %d look-ups answered; answers of i-a %d, of i-b %d; object %s "
          "goes to i-a",
-         lookups.load(), lookups_sent, a.answers.load(), b.answers.load(), key_of_a.c_str());
+         lookups.load(), lookups_sent, a.answers.load(), b.answers.load(),
+         key_of_a.c_str());
     if (lookups < lookups_sent * 9 / 10 || key_of_a.empty()) {
         return cannot_run("look-ups are not served");
     }
@@ -271,12 +272,11 @@
     for (auto& o : orders) {
         o.runs = a.ran()[o.id] + b.ran()[o.id];
         const bool twice = o.runs > 1;
-        const bool refused =
-            (o.status == 503 || o.status == 429) && o.runs > 0;
+        const bool refused = (o.status == 503 || o.status == 429) && o.runs > 0;
         broken = broken || twice || refused;
-        summary += text("%s answered %d, ran %d times%s%s; ", o.id.c_str(),
-                        o.status, o.runs, twice ? " (TWICE)" : "",
-                        refused ? " (REFUSED)" : "");
+        summary +=
+            text("%s answered %d, ran %d times%s%s; ", o.id.c_str(), o.status,
+                 o.runs, twice ? " (TWICE)" : "", refused ? " (REFUSED)" : "");
     }
     note("checks that i-a refused: %d; requests that it refused: %d; extra "
          "responses: %d of its %d answers",
--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.h
@@ -156,8 +156,8 @@
 inline bool send_all(int fd, const string& bytes) {
     std::size_t done = 0;
     while (done < bytes.size()) {
-        const auto n = ::send(fd, bytes.data() + done, bytes.size() - done,
-                              MSG_NOSIGNAL);
+        const auto n =
+            ::send(fd, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
         if (n > 0) {
             done += static_cast<std::size_t>(n);
             continue;
@@ -263,9 +263,8 @@
             return read_chunks(out, until);
         }
         if (out.has("Content-Length")) {
-            const auto length = static_cast<std::size_t>(
-                std::strtoull(out.header("Content-Length").c_str(), nullptr,
-                              10));
+            const auto length = static_cast<std::size_t>(std::strtoull(
+                out.header("Content-Length").c_str(), nullptr, 10));
             while (m_held.size() < length) {
                 if (const auto e = more(until); e != read_end::message) {
                     out.body = m_held;
@@ -292,8 +291,8 @@
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
             until - clock::now());
         pollfd p{m_fd, POLLIN, 0};
-        const int got = ::poll(
-            &p, 1, static_cast<int>(std::max<long>(0, left.count())));
+        const int got =
+            ::poll(&p, 1, static_cast<int>(std::max<long>(0, left.count())));
         if (got == 0) {
             return read_end::timeout;
         }
@@ -493,8 +492,8 @@
     while (at != string::npos) {
         const auto start = at + 1;
         at = path.find('&', start);
-        const auto one = path.substr(
-            start, at == string::npos ? string::npos : at - start);
+        const auto one =
+            path.substr(start, at == string::npos ? string::npos : at - start);
         if (one.starts_with(name + "=")) {
             return url_decoded(one.substr(name.size() + 1));
         }
@@ -520,8 +519,7 @@
 // The platform's store over HTTP, as PROTOCOL.md describes it.
 class store {
 public:
-    explicit store(int port)
-        : m_server(port, [this](int fd) { serve(fd); }) {
+    explicit store(int port) : m_server(port, [this](int fd) { serve(fd); }) {
         m_server.start();
         m_ticker = std::thread([this] { tick(); });
     }
@@ -557,9 +555,11 @@
         return found;
     }
 
-    // The store is away: every call gets a 503, and watches end.
-    void leave() {
+    // The store is away: every call gets a 503, and watches end. Leases pause,
+    // or run out if they lapse.
+    void leave(bool leases_lapse = false) {
         const std::lock_guard guard(m_mutex);
+        m_lapse = leases_lapse;
         m_away = true;
         m_changed.notify_all();
     }
@@ -650,8 +650,7 @@
             std::this_thread::sleep_for(20ms);
             const std::lock_guard guard(m_mutex);
             const auto now = clock::now();
-            if (m_away) {
-                // Leases pause.
+            if (m_away && !m_lapse) {
                 for (auto& [id, l] : m_state.leases) {
                     l.until += 20ms;
                 }
@@ -721,9 +720,9 @@
             }
             auto body = item_text(key, found->second);
             body.pop_back();
-            return answer(200, body + text(",\"as_of\":%lld}",
-                                           static_cast<long long>(
-                                               m_state.revision)));
+            return answer(
+                200, body + text(",\"as_of\":%lld}",
+                                 static_cast<long long>(m_state.revision)));
         }
         if (path.starts_with("/api/kv-txn")) {
             return transact(m.body);
@@ -743,9 +742,9 @@
                 return answer(404, "");
             }
             found->second.until = clock::now() + found->second.ttl;
-            return answer(200, text("{\"ttl_time\":\"%lldms\"}",
-                                    static_cast<long long>(
-                                        found->second.ttl.count())));
+            return answer(
+                200, text("{\"ttl_time\":\"%lldms\"}",
+                          static_cast<long long>(found->second.ttl.count())));
         }
         if (path == "/api/kv-lease") {
             const auto asked = json_field(m.body, "ttl_time");
@@ -778,19 +777,18 @@
             }
             items += (items.empty() ? "" : ",") + item_text(key, i);
         }
-        return answer(200,
-                      "{\"items\":[" + items +
-                          text("],\"has_more\":%s,\"as_of\":%lld}",
-                               more ? "true" : "false",
-                               static_cast<long long>(m_state.revision)));
+        return answer(200, "{\"items\":[" + items +
+                               text("],\"has_more\":%s,\"as_of\":%lld}",
+                                    more ? "true" : "false",
+                                    static_cast<long long>(m_state.revision)));
     }
 
     string watch(const string& path, std::unique_lock<std::mutex>& lock) {
         const auto prefix = parameter(path, "path_prefix");
         const auto after = std::atoll(parameter(path, "after").c_str());
         const auto until =
-            clock::now() + std::chrono::milliseconds(std::atoll(
-                               parameter(path, "wait_ms").c_str()));
+            clock::now() + std::chrono::milliseconds(
+                               std::atoll(parameter(path, "wait_ms").c_str()));
         const auto era = m_era;
         for (;;) {
             if (m_away || m_done || era != m_era) {
@@ -830,13 +828,12 @@
         const auto now =
             found == m_state.items.end() ? 0 : found->second.revision;
         if (!expected_key.empty() && now != expected) {
-            return answer(412,
-                          "{\"items\":[" +
-                              (now == 0 ? "{\"key\":\"" + expected_key +
-                                              "\",\"revision\":0}"
-                                        : item_text(expected_key,
-                                                    found->second)) +
-                              "]}");
+            return answer(
+                412, "{\"items\":[" +
+                         (now == 0 ? "{\"key\":\"" + expected_key +
+                                         "\",\"revision\":0}"
+                                   : item_text(expected_key, found->second)) +
+                         "]}");
         }
         const auto key = json_field(body, "key", puts);
         const auto lease_id =
@@ -849,8 +846,8 @@
         }
         const auto at =
             put(key, from_base64(json_field(body, "value", puts)), lease_id);
-        return answer(
-            200, text("{\"revision\":%lld}", static_cast<long long>(at)));
+        return answer(200,
+                      text("{\"revision\":%lld}", static_cast<long long>(at)));
     }
 
     std::mutex m_mutex;
@@ -859,6 +856,7 @@
     std::deque<std::pair<clock::time_point, state>> m_copies;
     int m_era = 1;
     bool m_away = false;
+    bool m_lapse = false;
     std::atomic<bool> m_done{false};
     std::thread m_ticker;
     server m_server;
@@ -879,6 +877,10 @@
         std::chrono::milliseconds work{200};
         bool tells_load = true;
         string health_path = "/health";
+        // After its start.
+        std::chrono::milliseconds cold_for{0};
+        // Says in its health answers how long it stays cold.
+        bool checks_tell_cold = true;
     };
 
     upstream(store& s, options o)
@@ -903,11 +905,29 @@
         return text("{\"address\":\"127.0.0.1:%d\",\"born\":%lld,"
                     "\"information\":{\"service\":\"%s\",\"version\":\"v1\","
                     "\"zone\":\"%s\",\"slots\":%d},\"status\":{\"state\":"
-                    "\"%s\",\"sequence\":%d,\"cold_remaining\":\"0ms\"}}",
+                    "\"%s\",\"sequence\":%d,\"cold_remaining\":\"%lldms\"}}",
                     port(), static_cast<long long>(m_born),
                     m_options.service.c_str(), m_options.zone.c_str(),
                     m_options.slots, m_draining ? "draining" : "ready",
-                    m_sequence.load());
+                    m_sequence.load(),
+                    static_cast<long long>(cold_left().count()));
+    }
+    [[nodiscard]] std::chrono::milliseconds cold_left() const {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_started + m_options.cold_for - clock::now());
+        return std::max(left, std::chrono::milliseconds(0));
+    }
+    // Requests that arrived within some second, at most.
+    [[nodiscard]] std::size_t most_in_a_second() {
+        const std::lock_guard guard(m_mutex);
+        std::size_t most = 0;
+        for (std::size_t i = 0, first = 0; i < m_arrivals.size(); ++i) {
+            while (m_arrivals[i] - m_arrivals[first] >= 1s) {
+                ++first;
+            }
+            most = std::max(most, i - first + 1);
+        }
+        return most;
     }
     void write_entry() {
         ++m_sequence;
@@ -931,11 +951,7 @@
     std::atomic<int> runs{0};
     std::atomic<int> answers{0};
 
-    // Called after each answer; returns bytes to send before the next answer on
-    // the same connection ("an extra response may arrive late, at the point
-    // where the next response is expected").
-    std::function<string(const message& asked, const string& answer)>
-        late_extra;
+    std::function<void()> on_arrival;
     std::function<void(const message&)> on_run;
     // Replaces the answer to a request that was run.
     std::function<string(const message&, const string& usual)> instead;
@@ -987,7 +1003,6 @@
 
     void serve(int fd) {
         reader in(fd);
-        string extra;
         message m;
         while (!m_server.stopping() &&
                in.read(m, clock::now() + 10s, false) == read_end::message) {
@@ -995,52 +1010,15 @@
             if (!out) {
                 return;
             }
-            if (!extra.empty()) {
-                note("%s sends an extra response late, before its answer to %s "
-                     "%s id %s",
-                     m_options.id.c_str(), m.method().c_str(),
-                     m.path().c_str(), m.header("Request-Attempt-Id").c_str());
-            }
-            // `handle` has sent the extra bytes if it was told to.
             if (!send_all(fd, *out)) {
                 return;
             }
             ++answers;
-            extra = late_extra ? late_extra(m, *out) : "";
-            m_extra_of_connection(fd, extra);
         }
     }
 
-    // The extra response goes out as soon as the next request has come.
-    void m_extra_of_connection(int fd, const string& extra) {
-        const std::lock_guard guard(m_mutex);
-        if (extra.empty()) {
-            m_extras.erase(fd);
-        } else {
-            m_extras[fd] = extra;
-        }
-    }
-    string take_extra(int fd) {
-        const std::lock_guard guard(m_mutex);
-        const auto found = m_extras.find(fd);
-        if (found == m_extras.end()) {
-            return "";
-        }
-        auto e = found->second;
-        m_extras.erase(found);
-        return e;
-    }
-
     std::optional<string> handle(int fd, const message& m) {
         const auto id = m.header("Request-Attempt-Id");
-        if (const auto extra = take_extra(fd); !extra.empty()) {
-            note("%s sends its extra response late: %s",
-                 m_options.id.c_str(),
-                 extra.substr(0, extra.find("\r\n")).c_str());
-            if (!send_all(fd, extra)) {
-                return std::nullopt;
-            }
-        }
         const bool is_check = m.path() == m_options.health_path;
         if (is_check) {
             ++health_checks;
@@ -1048,6 +1026,15 @@
             return response(421, "Misdirected Request",
                             "Instance-Id: " + m_options.id + "\r\n", "");
         }
+        if (!is_check) {
+            {
+                const std::lock_guard guard(m_mutex);
+                m_arrivals.push_back(clock::now());
+            }
+            if (on_arrival) {
+                on_arrival();
+            }
+        }
         switch (enter(fd)) {
         case place::left:
             return std::nullopt;
@@ -1060,8 +1047,12 @@
         }
         if (is_check) {
             std::this_thread::sleep_for(6ms);
-            const auto l = load();
+            auto l = load();
             leave();
+            if (m_options.checks_tell_cold && cold_left().count() > 0) {
+                l += text("Cold-Remaining: %lld\r\n",
+                          static_cast<long long>(cold_left().count()));
+            }
             return response(200, "OK",
                             "Instance-Id: " + m_options.id + "\r\n" + l, "");
         }
@@ -1087,11 +1078,11 @@
         if (gone) {
             return std::nullopt;
         }
-        auto usual = response(200, "OK",
-                              "Request-Attempt-Id: " + id +
-                                  "\r\nResponse-Signature: sig-" + id +
-                                  "\r\n" + l,
-                              "done " + id + " by " + m_options.id);
+        auto usual =
+            response(200, "OK",
+                     "Request-Attempt-Id: " + id +
+                         "\r\nResponse-Signature: sig-" + id + "\r\n" + l,
+                     "done " + id + " by " + m_options.id);
         return instead ? instead(m, usual) : usual;
     }
 
@@ -1113,10 +1104,11 @@
     int m_running = 0;
     int m_waiting = 0;
     std::map<string, int> m_ran;
-    std::map<int, string> m_extras;
     std::atomic<int> m_sequence{0};
     std::atomic<bool> m_draining{false};
     long long m_born = 0;
+    std::vector<clock::time_point> m_arrivals;
+    const clock::time_point m_started = clock::now();
     std::atomic<bool> m_done{false};
     std::thread m_beats;
     server m_server;
@@ -1177,8 +1169,7 @@
             const char* path = std::getenv("PATH");
             const auto path_text = string("PATH=") + (path ? path : "");
             char* const env[] = {const_cast<char*>(boot.c_str()),
-                                 const_cast<char*>(path_text.c_str()),
-                                 nullptr};
+                                 const_cast<char*>(path_text.c_str()), nullptr};
             const char* program = "target/platform/pollenreel_entry";
             char* const argv[] = {const_cast<char*>(program), nullptr};
             ::execve(program, argv, env);
