--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -1132,7 +1132,7 @@
           bounds b)
         : m_name(std::move(name)) {
         const char* folder = std::getenv("RIG_FOLDER");
-        m_folder = folder == nullptr ? "/tmp" : folder;
+        m_folder = folder == nullptr ? "." : folder;
         m_settings = m_folder + "/" + m_name + ".ini";
         FILE* f = std::fopen(m_settings.c_str(), "w");
         std::fprintf(
