--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -111,21 +111,30 @@
     return fd;
 }
 
-// Ports below the ephemeral range, so that no outgoing connection takes one.
+// Ports below the ephemeral range, so that no outgoing connection takes one,
+// and of a block that this process holds, so that no other script does.
 inline int free_port() {
+    constexpr int first = 12'000;
+    constexpr int block = 200;
+    constexpr int blocks = 90;
     static std::mutex mutex;
-    static std::mt19937 random{std::random_device{}()};
-    static std::set<int> given;
+    static int next = 0; // 0: no block is held
+    static int end = 0;
     const std::lock_guard guard(mutex);
-    for (int i = 0; i < 2000; ++i) {
-        const int port = 12'000 + static_cast<int>(random() % 18'000);
-        if (given.contains(port)) {
-            continue;
+    std::mt19937 random{std::random_device{}()};
+    for (int i = 0; next == 0 && i < 10 * blocks; ++i) {
+        const int base = first + static_cast<int>(random() % blocks) * block;
+        // Listened on until the process ends.
+        if (listen_on(base) >= 0) {
+            next = base + 1;
+            end = base + block;
         }
+    }
+    while (next != 0 && next < end) {
+        const int port = next++;
         const int fd = listen_on(port);
         if (fd >= 0) {
             ::close(fd);
-            given.insert(port);
             return port;
         }
     }
