Use no connection for requests whose check was not answered

Cause: a refusal without an id counts as that of the request, which holds only while no other refusal can arrive on the connection. A connection was used on after its check had been refused, and the refusal came once more where the order's response was due. The same on related paths: a check for a peer went out on an idle connection, where a late copy of an earlier response passed for its answer and its own refusal met the next order; and its connection went back to the idle ones after a refusal.

Change: a check is answered only by a response that names its target, bears no request's id and refuses nothing. After any other the connection is closed and the request goes on a new one, unchecked, within the bound for a cold target as before.

--- a/pollenreel/egress/target_pool.cpp
+++ b/pollenreel/egress/target_pool.cpp
@@ -100,8 +100,7 @@
 
 void target_pool::on_connected(base::attempt_id attempt, pending_check c) {
     if (c.path.empty() || !m_read_check) {
-        return m_on_event(
-            request::attempt_connected{attempt, std::nullopt, true});
+        return m_on_event(request::attempt_connected{attempt, c.result, true});
     }
     auto& asked = m_exchanges.at(attempt).asked;
     if (asked && asked->is_pending) {
@@ -173,10 +172,14 @@
     }
     const auto& e = m_exchanges.at(attempt);
     const auto result = m_read_check(answer.value(), c.target.id);
-    if (m_connections.at(e.connection)->reusable()) {
+    if (!result.identified) {
+        // A second copy of this answer, or the answer that it displaced, would
+        // pass for the refusal of the request: neither names what it answers.
+        c.path.clear();
+        c.result = result;
+    } else if (m_connections.at(e.connection)->reusable()) {
         return m_on_event(request::attempt_connected{attempt, result, true});
-    }
-    if (!std::exchange(c.may_reconnect, false)) {
+    } else if (!std::exchange(c.may_reconnect, false)) {
         return report_connect_failed(attempt);
     }
     close(e.connection);
@@ -196,14 +199,9 @@
     if (shared.waiting.size() > 1) {
         return;
     }
-    while (const auto idle =
-               m_tracker.acquire_idle(target.address, true, now)) {
-        if (m_connections.at(*idle)->reusable()) {
-            return exchange_check(*idle, target, path);
-        }
-        m_tracker.on_lost(*idle, now);
-        close(*idle);
-    }
+    // A connection carries at most one check, its first exchange. Of two checks
+    // on one connection a second copy of the first one's answer could pass for
+    // that of the second, whose own answer then met a request.
     m_last_connection = m_last_connection.next();
     const auto id = m_last_connection;
     auto connection = std::make_shared<http::client_connection>(m_io);
@@ -234,7 +232,10 @@
                 return on_checked_for_peers(target, {});
             }
             const auto c = m_read_check(answer.value(), target.id);
-            if (m_connections.at(id)->reusable() && !c.wrong_target) {
+            const bool has_idle =
+                m_tracker.oldest_idle(target.address).has_value();
+            if (c.identified && !c.wrong_target && !has_idle &&
+                m_connections.at(id)->reusable()) {
                 m_tracker.on_answered(id, m_clock.now(),
                                       m_reader(answer.value(), {}).keep_alive);
             } else {
--- a/pollenreel/egress/target_pool.hpp
+++ b/pollenreel/egress/target_pool.hpp
@@ -90,9 +90,9 @@
     // Writes the request. Reports attempt_answered or attempt_lost.
     void send(base::attempt_id attempt, http::request r,
               const std::string& request_id, std::chrono::milliseconds limit);
-    // Checks a target by a GET of `path`, on an idle connection if there is
-    // one; for an instance that is far from the target. The answer may be that
-    // of another such check just before.
+    // Checks a target by a GET of `path` on a new connection, for an instance
+    // that is far from the target. The answer may be that of another such check
+    // just before.
     void check_for_peer(const request::chosen_target& target,
                         const std::string& path, check_handler done);
     // Closes the attempt's connection; what the target has not acknowledged of
@@ -134,6 +134,8 @@
         std::string path;
         // The target may close the connection with its answer to the check.
         bool may_reconnect = true;
+        // Of a check on an earlier connection, which could not be kept.
+        std::optional<request::target_check> result{};
     };
     // The check that a peer makes for an attempt.
     struct asked_check {
--- a/pollenreel/request/attempt_messages.hpp
+++ b/pollenreel/request/attempt_messages.hpp
@@ -22,6 +22,9 @@
     bool tells = false;
     std::chrono::milliseconds cold_for{0};
     bool wrong_target = false; // another target owns the address
+    // The answer names its target and refuses nothing: it is that of the check,
+    // and a second copy of it cannot pass for the refusal of a request.
+    bool identified = false;
 };
 
 // Events.
