Log how long event loops stand still, and what waited for them

`event_loop_delayed` names the thread and its longest delay, `view_taken_late` how long the control thread's knowledge waited for the traffic thread, `caller_left` the attempts that were under way. pollenreel_event_loop_delay_milliseconds_total sums the delays up.

--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -351,6 +351,10 @@
 
     void tick() {
         const auto now = m_clock.now();
+        if (const auto late = m_counts.control_loop.on_timer(m_tick_due, now)) {
+            m_log.warning("event_loop_delayed",
+                          {{"thread", "control"}, {"late_ms", late->count()}});
+        }
         m_out.flush();
         report_dropped_lines();
         m_changed = m_beliefs.remove_expired(now) || m_changed;
@@ -377,6 +381,7 @@
             m_io.stop();
             return;
         }
+        m_tick_due = m_clock.now() + tick_period;
         m_tick.expires_after(tick_period);
         m_tick.async_wait([this](const boost::system::error_code& e) {
             if (!e) {
@@ -457,6 +462,7 @@
     log::logger m_log;
     log::line_writer& m_out;
     boost::asio::steady_timer m_tick;
+    base::time_point m_tick_due = m_clock.now();
     boost::asio::signal_set m_signals;
     fleet::fleet_state m_beliefs;
     fleet::follower m_follower;
--- a/pollenreel/entry/request_log.cpp
+++ b/pollenreel/entry/request_log.cpp
@@ -230,10 +230,11 @@
 }
 
 void request_log::caller_left(const request_name& r, base::duration waited,
-                              base::time_point now) {
+                              std::size_t attempts, base::time_point now) {
     if (begin_trouble(r, now)) {
         m_log.info("caller_left", {{"request", r.caller_id},
-                                   {"waited_ms", rounded(ms(waited))}});
+                                   {"waited_ms", rounded(ms(waited))},
+                                   {"attempts", attempts}});
     }
 }
 
--- a/pollenreel/entry/request_log.hpp
+++ b/pollenreel/entry/request_log.hpp
@@ -40,7 +40,7 @@
     void refused(const request_name& r, const dispatch::refuse& e,
                  const fleet::view* v, base::time_point now);
     void caller_left(const request_name& r, base::duration waited,
-                     base::time_point now);
+                     std::size_t attempts, base::time_point now);
     void target_departing(const request_name& r, const base::target_id& target);
     void target_backed_off(const request_name& r,
                            const dispatch::target_backed_off& e,
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -3,6 +3,7 @@
 #include "pollenreel/asio/wakeup.hpp"
 #include "pollenreel/base/overloaded.hpp"
 #include "pollenreel/egress/target_pool.hpp"
+#include "pollenreel/entry/loop_delay.hpp"
 #include "pollenreel/entry/request_log.hpp"
 #include "pollenreel/entry/traffic_metrics.hpp"
 #include "pollenreel/fleet/directory.hpp"
@@ -156,7 +157,16 @@
     }
 
     void publish(fleet::view_ptr v) {
-        boost::asio::post(m_io, [this, v = std::move(v)] { take(v); });
+        boost::asio::post(m_io, [this, v = std::move(v), at = m_clock.now()] {
+            const auto waited = m_clock.now() - at;
+            if (waited >= loop_delay::report_threshold) {
+                m_log.warning("view_taken_late",
+                              {{"waited_ms",
+                                std::chrono::duration_cast<milliseconds>(waited)
+                                    .count()}});
+            }
+            take(v);
+        });
     }
 
     void set_limits(const dispatch::fleet_limits& l) {
@@ -262,22 +272,28 @@
         auto carried = m_protocol.read_request(r, m_last_id);
         carried.arrival.read_at = m_clock.boot_now();
         const auto id = m_last_id;
-        answer.on_gone([this, id] {
-            const auto found = m_waiting.find(id);
-            if (found == m_waiting.end()) {
-                return;
-            }
-            const auto now = m_clock.now();
-            m_requests.caller_left({id, found->second.caller_id},
-                                   now - found->second.arrived, now);
-            handle(dispatch::caller_gone{id});
-            m_waiting.erase(id);
-        });
+        answer.on_gone([this, id] { on_caller_left(id); });
         m_waiting[id] = {std::move(r), std::move(carried.caller_id),
                          m_clock.now(), std::move(answer)};
         handle(carried.arrival);
     }
 
+    void on_caller_left(base::request_id id) {
+        const auto found = m_waiting.find(id);
+        if (found == m_waiting.end()) {
+            return;
+        }
+        const auto now = m_clock.now();
+        const auto attempts = std::count_if(
+            m_request_of.begin(), m_request_of.end(),
+            [&](const auto& a) { return a.second.request == id; });
+        m_requests.caller_left({id, found->second.caller_id},
+                               now - found->second.arrived,
+                               static_cast<std::size_t>(attempts), now);
+        handle(dispatch::caller_gone{id});
+        m_waiting.erase(id);
+    }
+
     std::optional<http::response> refuse_before_body(const http::request& r) {
         m_last_id = m_last_id.next();
         auto carried = m_protocol.read_request(r, m_last_id);
@@ -348,7 +364,8 @@
                  m_lookups, m_checks_for_others, m_targets.connections(),
                  m_targets.opened_total(), m_targets.checked_by_peers_total(),
                  m_targets.receiving_bytes(), m_targets.cut_off_total(),
-                 m_view.get(), m_clock.now(), m_control, keys_age()})};
+                 m_view.get(), m_clock.now(), m_control, m_delay.total(),
+                 keys_age()})};
     }
 
     std::optional<base::duration> keys_age() const {
@@ -472,6 +489,10 @@
 
     void keep_house() {
         const auto now = m_clock.now();
+        if (const auto late = m_delay.on_timer(m_housekeeping_due, now)) {
+            m_log.warning("event_loop_delayed",
+                          {{"thread", "traffic"}, {"late_ms", late->count()}});
+        }
         m_targets.close_expired();
         if (now - m_log_reported >= log_report_period) {
             m_log_reported = now;
@@ -488,6 +509,7 @@
             m_ended();
             return;
         }
+        m_housekeeping_due = m_clock.now() + housekeeping_period;
         m_housekeeping.expires_after(housekeeping_period);
         m_housekeeping.async_wait(
             [this](const boost::system::error_code&) { keep_house(); });
@@ -528,6 +550,8 @@
     std::function<void()> m_ended;
     std::optional<base::time_point> m_close_at;
     base::time_point m_log_reported{};
+    base::time_point m_housekeeping_due = m_clock.now();
+    loop_delay m_delay;
     base::request_id m_last_id;
     std::uint64_t m_lookups = 0;
     std::uint64_t m_checks_for_others = 0;
--- a/pollenreel/entry/traffic.hpp
+++ b/pollenreel/entry/traffic.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "pollenreel/egress/target_pool.hpp"
+#include "pollenreel/entry/loop_delay.hpp"
 #include "pollenreel/entry/protocol.hpp"
 #include "pollenreel/entry/settings.hpp"
 #include "pollenreel/fleet/exchange.hpp"
@@ -32,6 +33,7 @@
     std::atomic<std::uint64_t> exchange_failures{0}; // of them, without use
     std::atomic<std::uint64_t> exchange_bytes{0};    // sent and received
     std::atomic<fleet::exchange_role> exchange_role{fleet::exchange_role::none};
+    loop_delay control_loop;
 };
 
 class traffic {
--- a/pollenreel/entry/traffic_metrics.cpp
+++ b/pollenreel/entry/traffic_metrics.cpp
@@ -93,6 +93,18 @@
     }
 }
 
+void add_loops(metrics::exposition& page, const metrics_snapshot& s) {
+    constexpr const char* name =
+        "pollenreel_event_loop_delay_milliseconds_total";
+    constexpr const char* help = "Time by which periodic timers ran late.";
+    const auto add = [&](const char* thread, std::chrono::milliseconds delay) {
+        page.counter(name, help, static_cast<std::uint64_t>(delay.count()),
+                     {{"thread", thread}});
+    };
+    add("traffic", s.loop_delay);
+    add("control", s.control.control_loop.total());
+}
+
 void add_store(metrics::exposition& page, const control_counts& c) {
     page.counter("pollenreel_store_calls_total", "Calls to the store.",
                  c.store_calls);
@@ -166,6 +178,7 @@
     metrics::exposition page;
     add_requests(page, s);
     add_state(page, s);
+    add_loops(page, s);
     add_store(page, s.control);
     add_exchange(page, s.control);
     page.requests(s.recorded.requests);
--- a/pollenreel/entry/traffic_metrics.hpp
+++ b/pollenreel/entry/traffic_metrics.hpp
@@ -7,6 +7,7 @@
 #include "pollenreel/metrics/recorder.hpp"
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -52,6 +53,7 @@
     const fleet::view* view = nullptr; // null: none yet
     base::time_point now{};
     const control_counts& control;
+    std::chrono::milliseconds loop_delay{}; // of the traffic thread, summed up
     // Since the keys were last confirmed; nullopt if they do not lapse.
     std::optional<base::duration> keys_age{};
 };
