Send no request whose caller has left

Cause: a loop that has been busy finds a request and the end of its stream ready at once, and writes the request to a target before it reads the end. The same while an attempt connects, and on connections on which nothing is read: with as many requests under way as are read ahead, or after the last one.

Change: a responder tells whether its caller has left by asking the kernel.

--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -268,6 +268,11 @@
     }
 
     void on_request(http::request r, http::responder answer) {
+        // A busy loop may read a request long after its caller gave up.
+        if (answer.has_caller_left()) {
+            ++m_left_unread;
+            return;
+        }
         m_last_id = m_last_id.next();
         auto carried = m_protocol.read_request(r, m_last_id);
         carried.arrival.read_at = m_clock.boot_now();
@@ -361,8 +366,9 @@
             metrics_text(
                 {m_core.counts(), m_metrics.read(), m_core.requests_in_flight(),
                  m_callers.connections(), m_callers.counters().malformed,
-                 m_lookups, m_checks_for_others, m_targets.connections(),
-                 m_targets.opened_total(), m_targets.checked_by_peers_total(),
+                 m_left_unread, m_lookups, m_checks_for_others,
+                 m_targets.connections(), m_targets.opened_total(),
+                 m_targets.checked_by_peers_total(),
                  m_targets.receiving_bytes(), m_targets.cut_off_total(),
                  m_view.get(), m_clock.now(), m_control, m_delay.total(),
                  keys_age()})};
@@ -403,6 +409,11 @@
     void run(const request::send_attempt& e) {
         const auto& attempt = m_request_of.at(e.attempt);
         const auto& w = m_waiting.at(attempt.request);
+        // A busy loop learns of it only after what is queued before.
+        if (w.answer && w.answer->has_caller_left()) {
+            return boost::asio::post(
+                m_io, [this, id = attempt.request] { on_caller_left(id); });
+        }
         m_targets.send(e.attempt,
                        m_protocol.to_target(w.request, attempt.target,
                                             e.time_left, w.identity),
@@ -554,6 +565,7 @@
     loop_delay m_delay;
     base::request_id m_last_id;
     std::uint64_t m_lookups = 0;
+    std::uint64_t m_left_unread = 0; // requests whose caller had left before
     std::uint64_t m_checks_for_others = 0;
     milliseconds m_revocation_bound = m_settings.limits.revocation_bound;
     std::thread m_thread;
--- a/pollenreel/entry/traffic_metrics.cpp
+++ b/pollenreel/entry/traffic_metrics.cpp
@@ -46,6 +46,9 @@
     }
     page.counter("pollenreel_malformed_requests_total",
                  "Requests that could not be read.", s.malformed);
+    page.counter("pollenreel_requests_left_unread_total",
+                 "Requests whose caller had left when they were read.",
+                 s.left_unread);
     page.counter("pollenreel_lookups_total", "Look-ups answered.", s.lookups);
     page.counter("pollenreel_target_checks_for_others_total",
                  "Checks of targets that other instances asked for.",
--- a/pollenreel/entry/traffic_metrics.hpp
+++ b/pollenreel/entry/traffic_metrics.hpp
@@ -43,6 +43,7 @@
     std::size_t in_flight = 0;
     std::size_t caller_connections = 0;
     std::uint64_t malformed = 0;
+    std::uint64_t left_unread = 0;
     std::uint64_t lookups = 0;
     std::uint64_t checks_for_others = 0;
     std::size_t target_connections = 0;
--- a/pollenreel/http/http_test.cpp
+++ b/pollenreel/http/http_test.cpp
@@ -190,6 +190,34 @@
     }
 }
 
+// The end of the stream waits in a busy loop behind what was queued before.
+TEST_CASE("a responder knows of a caller that has left before the loop does") {
+    struct row {
+        const char* name;
+        bool leaves_unread; // before its request is read
+        bool leaves;
+    };
+    const row rows[] = {
+        {"a caller that waits", false, false},
+        {"a caller that has left before its request is read", true, false},
+        {"a caller that leaves later", false, true},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        held_server s;
+        s.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        if (r.leaves_unread) {
+            s.caller.close();
+        }
+        s.run_until([&] { return s.answers.size() == 1; });
+        if (r.leaves) {
+            s.caller.close();
+        }
+        CHECK(s.answers[0].has_caller_left() == (r.leaves_unread || r.leaves));
+        CHECK(s.gone == 0);
+    }
+}
+
 namespace {
 
 http::server_options pipelined() {
@@ -233,6 +261,19 @@
     s.run_until([&] { return s.server().connections() == 0; });
 }
 
+// Nothing was read, and so no end of the stream, while as many requests were
+// under way as the server reads ahead.
+TEST_CASE("a caller that leaves is noticed while no more requests are read") {
+    held_server s(pipelined());
+    s.send(two_requests + "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.run_until([&] { return s.answers.size() == 3; });
+    s.send("GET /4 HTTP/1.1\r\nHost: a\r\n\r\n"); // stays unread
+    s.settle();
+    s.caller.close();
+    s.run_until([&] { return s.gone == 3; });
+    CHECK(s.answers.size() == 3);
+}
+
 TEST_CASE("a draining server answers what it has read, then closes") {
     held_server s(pipelined());
     s.send(two_requests);
--- a/pollenreel/http/internal/session.cpp
+++ b/pollenreel/http/internal/session.cpp
@@ -1,5 +1,7 @@
 #include "pollenreel/http/internal/session.hpp"
 
+#include "pollenreel/http/internal/peer_closed.hpp"
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -93,6 +95,9 @@
         m_session->flood(first,
                          std::make_shared<std::string>(std::move(bytes)));
     }
+    [[nodiscard]] bool has_caller_left() const override {
+        return m_session->has_caller_left();
+    }
     void watch(std::function<void()> notify) override {
         gone = std::move(notify);
         if (!m_session->m_reading) {
@@ -149,6 +154,10 @@
 }
 
 void session::close_if_overdue(base::time_point now) {
+    // No read is pending that would bring the end of the stream.
+    if (!m_reading && !m_finishing && !m_owed.empty() && has_caller_left()) {
+        return on_caller_gone();
+    }
     if (m_overdue_at && now >= *m_overdue_at) {
         close();
     }
@@ -281,6 +290,10 @@
     hand_over();
 }
 
+bool session::has_caller_left() {
+    return m_closed || has_peer_closed(m_socket.native_handle());
+}
+
 void session::hand_over() {
     m_reading = false;
     auto message = m_parser->release();
--- a/pollenreel/http/internal/session.hpp
+++ b/pollenreel/http/internal/session.hpp
@@ -64,6 +64,7 @@
     void refuse(response r);
     [[nodiscard]] response no_room() const;
     void hand_over();
+    [[nodiscard]] bool has_caller_left();
     void refuse(boost::system::error_code e);
     void on_read_end(boost::system::error_code e);
     void watch_for_close();
--- a/pollenreel/http/server.cpp
+++ b/pollenreel/http/server.cpp
@@ -54,6 +54,11 @@
     }
 }
 
+bool responder::has_caller_left() const {
+    const auto to = m_to.lock();
+    return !to || to->has_caller_left();
+}
+
 class server::listener : public std::enable_shared_from_this<listener> {
 public:
     listener(asio::io_context& io, server_options options, handler h)
--- a/pollenreel/http/server.hpp
+++ b/pollenreel/http/server.hpp
@@ -38,6 +38,7 @@
         virtual void answer(response r) = 0;
         virtual void abort(std::string bytes) = 0;
         virtual void flood(std::string head, std::string bytes) = 0;
+        [[nodiscard]] virtual bool has_caller_left() const = 0;
         virtual void watch(std::function<void()> notify) = 0;
     };
 
@@ -52,6 +53,9 @@
     // `notify` is called at most once, when the caller closes its connection
     // or its sending side before it is answered.
     void on_gone(std::function<void()> notify) const;
+    // Whether the caller has closed its connection or its sending side, even if
+    // `on_gone` has yet to tell; true also once it is answered.
+    [[nodiscard]] bool has_caller_left() const;
 
 private:
     std::weak_ptr<waiting> m_to;
--- a/pollenreel/node/traffic_thread.cpp
+++ b/pollenreel/node/traffic_thread.cpp
@@ -233,7 +233,13 @@
     }
 
     void run(const request::send_attempt& e) {
-        const auto& w = m_waiting.at(m_request_of.at(e.attempt));
+        const auto id = m_request_of.at(e.attempt);
+        const auto& w = m_waiting.at(id);
+        // A busy loop learns of it only after what is queued before.
+        if (w.answer && w.answer->has_caller_left()) {
+            return boost::asio::post(
+                m_io, [this, id] { handle(request::caller_gone{id}); });
+        }
         m_targets.send(e.attempt,
                        to_target(w.request, w.path, w.id, e.time_left), w.id,
                        e.time_left + answer_slack);
