Log by which way an evacuation reaches an instance and its attempts

The way of an evacuation from the store to the choice of a target could not be followed: evacuation_begun carried neither source nor age nor revision, an attempt did not name its target's failure domain, and nothing told when the traffic thread had taken the view, how long a listing took, or whether a request went to a domain that was known to be evacuated.

evacuation_begun and evacuation_ended have source, previous_contact_age_ms and revision; evacuation_applied, request_sent_to_evacuated (with the counter pollenreel_sent_to_evacuated_total) and store_listed are new; target_chosen has failure_domain; relay_left tells an old response from a changed role. No decision changes.

--- a/pollenreel/dispatch/core.hpp
+++ b/pollenreel/dispatch/core.hpp
@@ -158,7 +158,8 @@
     std::uint32_t in_flight = 0; // attempts of this instance at the target
     double repeats_left = 0;     // in the service's retry budget
     base::duration time_left{};
-    std::string tenant{}; // empty on public routes
+    std::string tenant{};                     // empty on public routes
+    base::failure_domain_id failure_domain{}; // of the target
 };
 
 // Effects.
--- a/pollenreel/dispatch/core_attempts.cpp
+++ b/pollenreel/dispatch/core_attempts.cpp
@@ -106,7 +106,8 @@
         state.in_flight(),
         budget_for(pending.service).remaining(sharing_instances(), now),
         pending.expires_at - now,
-        tenant_name(pending)};
+        tenant_name(pending),
+        best.target->failure_domain};
     m_open_attempts[id] = {{},
                            pending.id,
                            best.target->id,
--- a/pollenreel/dispatch/revocation_test.cpp
+++ b/pollenreel/dispatch/revocation_test.cpp
@@ -220,7 +220,7 @@
             }
             return decode(c);
         },
-        state, [](const change&, effect) {});
+        state, [](const change&, effect, store::revision) {});
     const auto at = [](int s) {
         return base::boot_time(std::chrono::seconds(s));
     };
@@ -286,7 +286,8 @@
         o.self = make_instance("i-1", "a");
         o.departure_bound = change_bound;
         o.confirms_configuration = confirms;
-        follower f(o, decode, state, [](const change&, effect) {});
+        follower f(o, decode, state,
+                   [](const change&, effect, store::revision) {});
         CHECK(f.start(start_time).size() == 1);
         CHECK(f.on_list_reply(store::found_all{{{"c", "", {30}, {}}},
                                                {31},
@@ -321,7 +322,7 @@
         [](const store::key_change& c) -> change {
             return c.key == "c" ? unreadable{c.key, "", {}, true} : decode(c);
         },
-        state, [](const change&, effect) {});
+        state, [](const change&, effect, store::revision) {});
     CHECK(f.start(start_time).size() == 1);
     CHECK(
         f.on_list_reply(
--- a/pollenreel/entry/change_log.cpp
+++ b/pollenreel/entry/change_log.cpp
@@ -42,6 +42,16 @@
     }
 }
 
+void log_evacuation(const log::logger& log, std::string_view event,
+                    const base::failure_domain_id& domain,
+                    const change_origin& origin) {
+    log.info(event,
+             {{"failure_domain", domain.str()},
+              {"source", fleet::to_string(origin.source)},
+              {"previous_contact_age_ms", origin.previous_contact_age.count()},
+              {"revision", origin.at.value}});
+}
+
 } // namespace
 
 void log_change(const log::logger& log, const fleet::change& c, fleet::effect e,
@@ -91,12 +101,12 @@
                        }
                    },
                    [&](const fleet::evacuation_begun& d) {
-                       log.info("evacuation_begun",
-                                {{"failure_domain", d.failure_domain.str()}});
+                       log_evacuation(log, "evacuation_begun", d.failure_domain,
+                                      origin);
                    },
                    [&](const fleet::evacuation_ended& d) {
-                       log.info("evacuation_ended",
-                                {{"failure_domain", d.failure_domain.str()}});
+                       log_evacuation(log, "evacuation_ended", d.failure_domain,
+                                      origin);
                    },
                    [&](const fleet::instance_written& i) {
                        log.info("instance_announced",
--- a/pollenreel/entry/change_log.hpp
+++ b/pollenreel/entry/change_log.hpp
@@ -15,6 +15,7 @@
     fleet::change_source source{};
     // Since the store last confirmed the state before this change.
     std::chrono::milliseconds previous_contact_age{};
+    store::revision at; // of the change
 };
 
 // One line for a change that altered, or was kept from altering, a belief.
--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -88,9 +88,8 @@
           m_beliefs(m_settings.regions, belief_options_of(m_settings)),
           m_follower(follower_options_of(m_settings, m_options.layout),
                      m_options.layout.decode, m_beliefs,
-                     [this](const fleet::change& c, fleet::effect e) {
-                         on_change(c, e);
-                     }),
+                     [this](const fleet::change& c, fleet::effect e,
+                            store::revision at) { on_change(c, e, at); }),
           m_asker(io, clock), m_announcer({m_options.layout.announce_key,
                                            m_options.layout.announce_value,
                                            m_settings.stable_window}),
@@ -117,10 +116,21 @@
     }
 
     void run(const fleet::follower::list& l) {
-        call(store::read_prefix{l.prefix}, [this](const store::reply& r) {
-            run(m_follower.on_list_reply(r, m_clock.now()));
-            tell_askers();
-        });
+        call(store::read_prefix{l.prefix},
+             [this, asked_at = m_clock.now()](const store::reply& r) {
+                 note_listing(r, asked_at);
+                 run(m_follower.on_list_reply(r, m_clock.now()));
+                 tell_askers();
+             });
+    }
+
+    void note_listing(const store::reply& r, base::time_point asked_at) {
+        const auto* all = std::get_if<store::found_all>(&r);
+        m_log.info("store_listed",
+                   {{"entries", all != nullptr ? all->entries.size() : 0},
+                    {"revision", all != nullptr ? all->at.value : 0},
+                    {"complete", all != nullptr},
+                    {"took_ms", since(asked_at)}});
     }
 
     void run(const fleet::follower::watch& w) {
@@ -155,6 +165,7 @@
 
     void on_relayed(const std::optional<fleet::relay_response>& answer) {
         const auto polled = m_follower.relay();
+        const auto max_age = m_follower.max_contact_age();
         const auto actions =
             m_follower.on_relay_response(answer, m_clock.now());
         const bool watches =
@@ -165,7 +176,7 @@
             m_log.info("relay_left",
                        {{"relay", polled.watcher.str()},
                         {"next", m_follower.relay().watcher.str()},
-                        {"problem", relay::failure_reason(answer)},
+                        {"problem", relay::failure_reason(answer, max_age)},
                         {"waited_ms", std::chrono::duration_cast<milliseconds>(
                                           m_clock.now() - m_polled_at)
                                           .count()}});
@@ -276,7 +287,8 @@
         return reached;
     }
 
-    void on_change(const fleet::change& c, fleet::effect e) {
+    void on_change(const fleet::change& c, fleet::effect e,
+                   store::revision at) {
         m_changed = m_changed || e == fleet::effect::changed ||
                     e == fleet::effect::refreshed;
         if (std::holds_alternative<fleet::unreadable>(c)) {
@@ -286,10 +298,11 @@
             w != nullptr && e == fleet::effect::changed) {
             m_counts.configuration_problems += w->configuration.problem_count;
         }
-        log_change(
-            m_log, c, e,
-            {m_follower.source(), std::chrono::duration_cast<milliseconds>(
-                                      m_clock.now() - m_published_contact)});
+        log_change(m_log, c, e,
+                   {m_follower.source(),
+                    std::chrono::duration_cast<milliseconds>(
+                        m_clock.now() - m_published_contact),
+                    at});
         const auto* gone = std::get_if<fleet::instance_removed>(&c);
         if (gone != nullptr && gone->id == m_settings.id) {
             m_announcer.on_key_removed(m_clock.now());
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -165,6 +165,7 @@
                                 std::chrono::duration_cast<milliseconds>(waited)
                                     .count()}});
             }
+            log_new_evacuations(*v, waited);
             take(v);
         });
     }
@@ -243,6 +244,32 @@
         }
     }
 
+    // Before `v` is taken. The attempts under way there end or are abandoned as
+    // they connect.
+    void log_new_evacuations(const fleet::view& v, base::duration waited) {
+        for (const auto& domain : v.evacuated_domains) {
+            if (m_view && is_evacuated(*m_view, domain)) {
+                continue;
+            }
+            const auto attempts = std::count_if(
+                m_request_of.begin(), m_request_of.end(), [&](const auto& a) {
+                    return a.second.failure_domain == domain;
+                });
+            m_log.info(
+                "evacuation_applied",
+                {{"failure_domain", domain.str()},
+                 {"waited_ms",
+                  std::chrono::duration_cast<milliseconds>(waited).count()},
+                 {"attempts", attempts}});
+        }
+    }
+
+    static bool is_evacuated(const fleet::view& v,
+                             const base::failure_domain_id& domain) {
+        return std::find(v.evacuated_domains.begin(), v.evacuated_domains.end(),
+                         domain) != v.evacuated_domains.end();
+    }
+
     void take(const fleet::view_ptr& v) {
         const bool new_routes = !m_view || m_view->routes != v->routes;
         m_view = v;
@@ -367,8 +394,8 @@
                 {m_core.counts(), m_metrics.read(), m_core.requests_in_flight(),
                  m_callers.connections(), m_callers.counters().malformed,
                  m_left_unread, m_lookups, m_checks_for_others,
-                 m_targets.connections(), m_targets.opened_total(),
-                 m_targets.checked_by_peers_total(),
+                 m_sent_to_evacuated, m_targets.connections(),
+                 m_targets.opened_total(), m_targets.checked_by_peers_total(),
                  m_targets.receiving_bytes(), m_targets.cut_off_total(),
                  m_view.get(), m_clock.now(), m_control, m_delay.total(),
                  keys_age()})};
@@ -399,7 +426,8 @@
     void run(const dispatch::open_attempt& e) {
         auto& w = m_waiting.at(e.open.request);
         m_request_of[e.open.attempt] = {e.open.request, w.caller_id,
-                                        e.record.target, e.record.service};
+                                        e.record.target, e.record.service,
+                                        e.record.failure_domain};
         w.identity = e.caller;
         m_requests.chosen({e.open.request, w.caller_id}, e, *m_view,
                           m_clock.now());
@@ -414,6 +442,13 @@
             return boost::asio::post(
                 m_io, [this, id = attempt.request] { on_caller_left(id); });
         }
+        if (is_evacuated(*m_view, attempt.failure_domain)) {
+            ++m_sent_to_evacuated;
+            m_log.error("request_sent_to_evacuated",
+                        {{"request", w.caller_id},
+                         {"target", attempt.target.str()},
+                         {"failure_domain", attempt.failure_domain.str()}});
+        }
         m_targets.send(e.attempt,
                        m_protocol.to_target(w.request, attempt.target,
                                             e.time_left, w.identity),
@@ -534,6 +569,7 @@
         std::string caller_id; // outlives the request: a hedge that lost
         base::target_id target;
         base::service_id service;
+        base::failure_domain_id failure_domain;
     };
 
     const settings& m_settings;
@@ -567,6 +603,7 @@
     std::uint64_t m_lookups = 0;
     std::uint64_t m_left_unread = 0; // requests whose caller had left before
     std::uint64_t m_checks_for_others = 0;
+    std::uint64_t m_sent_to_evacuated = 0;
     milliseconds m_revocation_bound = m_settings.limits.revocation_bound;
     std::thread m_thread;
 };
--- a/pollenreel/entry/traffic_metrics.cpp
+++ b/pollenreel/entry/traffic_metrics.cpp
@@ -53,6 +53,10 @@
     page.counter("pollenreel_target_checks_for_others_total",
                  "Checks of targets that other instances asked for.",
                  s.checks_for_others);
+    page.counter("pollenreel_sent_to_evacuated_total",
+                 "Requests sent to failure domains that were known to be "
+                 "evacuated.",
+                 s.sent_to_evacuated);
 }
 
 void add_state(metrics::exposition& page, const metrics_snapshot& s) {
--- a/pollenreel/entry/traffic_metrics.hpp
+++ b/pollenreel/entry/traffic_metrics.hpp
@@ -46,6 +46,7 @@
     std::uint64_t left_unread = 0;
     std::uint64_t lookups = 0;
     std::uint64_t checks_for_others = 0;
+    std::uint64_t sent_to_evacuated = 0;
     std::size_t target_connections = 0;
     std::uint64_t target_connections_opened = 0;
     std::uint64_t checked_by_others = 0;
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -230,7 +230,7 @@
         journal_removed_keys(*all);
     }
     for (const auto& [c, e] : m_state.end_listing(now)) {
-        m_observer(c, e);
+        m_observer(c, e, all->at);
     }
     on_complete(all->asked_at);
     return follow(now);
@@ -271,7 +271,7 @@
     if (m_polling_relay || is_news(decoded, done)) {
         m_journal.add(c);
     }
-    m_observer(decoded, done);
+    m_observer(decoded, done, c.at);
 }
 
 void follower::apply(const std::vector<store::key_change>& all,
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -77,8 +77,10 @@
     };
     using action = std::variant<list, watch, poll, read, fetch>;
     using actions = std::vector<action>;
-    // Called for each change and its effect, for the log.
-    using observer = std::function<void(const change&, effect)>;
+    // Called for each change with its effect and revision, for the log. What a
+    // listing does not contain has the revision of the listing.
+    using observer =
+        std::function<void(const change&, effect, store::revision)>;
 
     follower(follower_options o, decoder d, fleet_state& state,
              observer on_change);
@@ -112,6 +114,8 @@
     [[nodiscard]] const relay_choice& relay() const { return m_relay; }
     [[nodiscard]] bool is_listing() const { return m_listing; }
     [[nodiscard]] change_source source() const;
+    // How old the state may grow before the chosen relay is given up.
+    [[nodiscard]] std::chrono::milliseconds max_contact_age() const;
 
     // Settings may be reloaded.
     void set_confirms_configuration(bool confirms) {
@@ -157,8 +161,6 @@
     // Does not poll the chosen relay for a while.
     void avoid_relay(base::time_point now);
     [[nodiscard]] relay_choice choose_relay_now(base::time_point now);
-    // How old the state may grow before the chosen relay is given up.
-    [[nodiscard]] std::chrono::milliseconds max_contact_age() const;
     // Polls a relay if there is one to use, else watches the store.
     actions follow(base::time_point now);
     [[nodiscard]] std::chrono::milliseconds watch_interval() const;
--- a/pollenreel/fleet/follower_test.cpp
+++ b/pollenreel/fleet/follower_test.cpp
@@ -19,8 +19,9 @@
 class fixture {
 public:
     fixture()
-        : state({}, {}), subject({"", {}, 1000ms}, decode, state,
-                                 [](const change&, effect) {}) {}
+        : state({}, {}),
+          subject({"", {}, 1000ms}, decode, state,
+                  [](const change&, effect, store::revision) {}) {}
 
     // Replies to the listing that `actions` starts.
     follower::actions list(const follower::actions& actions,
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -173,7 +173,7 @@
         CAPTURE(r.name);
         fleet_state known({}, {});
         follower f({"", self, departure_bound}, decode, known,
-                   [](const change&, effect) {});
+                   [](const change&, effect, store::revision) {});
         auto now = start_time;
         CHECK(f.start(now).size() == 1);
         const auto polled = f.on_list_reply(two_watchers(), now);
@@ -219,7 +219,7 @@
         CAPTURE(r.name);
         fleet_state known({}, {});
         follower f({"", r.self, departure_bound}, decode, known,
-                   [](const change&, effect) {});
+                   [](const change&, effect, store::revision) {});
         CHECK(f.start(start_time).size() == 1);
         const auto then = f.on_list_reply(
             store::found_all{{{"i/i-1", "", {1}, {}}, {"i/i-2", "", {2}, {}}},
@@ -241,7 +241,7 @@
 TEST_CASE("a watcher relays only changes before which it missed none") {
     fleet_state known({}, {});
     follower f({"", make_instance("i-1", "a"), departure_bound}, decode, known,
-               [](const change&, effect) {});
+               [](const change&, effect, store::revision) {});
     const auto listed = [](std::int64_t at, std::vector<store::entry> entries) {
         return store::found_all{std::move(entries), {at}};
     };
@@ -273,7 +273,7 @@
 TEST_CASE("an entry rewritten in compacted history is relayed if unchanged") {
     fleet_state known({}, {});
     follower f({"", make_instance("i-1", "b"), departure_bound}, decode, known,
-               [](const change&, effect) {});
+               [](const change&, effect, store::revision) {});
     CHECK(f.start(start_time).size() == 1);
     CHECK(f.on_list_reply(store::found_all{{{"i/i-2", "", {30}, {}}}, {31}},
                           start_time)
@@ -302,7 +302,7 @@
         CAPTURE(r.name);
         fleet_state known({}, {});
         follower f({"", make_instance("i-1", "a"), departure_bound}, decode,
-                   known, [](const change&, effect) {});
+                   known, [](const change&, effect, store::revision) {});
         const auto status = [&](base::time_point now) {
             return f.make_relay_response({{31}, 0ms}, true, now).status;
         };
@@ -341,7 +341,7 @@
 TEST_CASE("a part of many changes is relayed with the age of what is known") {
     fleet_state known({}, {});
     follower f({"", make_instance("i-1", "a"), departure_bound}, decode, known,
-               [](const change&, effect) {});
+               [](const change&, effect, store::revision) {});
     CHECK(f.start(start_time).size() == 1);
     CHECK(f.on_list_reply(store::found_all{{{"t/a", "", {30}, {}}}, {31}},
                           start_time)
@@ -372,7 +372,7 @@
         return decode(c);
     };
     follower f({"", make_instance("i-1", "a"), departure_bound}, decode_old,
-               known, [](const change&, effect) {});
+               known, [](const change&, effect, store::revision) {});
     CHECK(f.start(start_time).size() == 1);
     CHECK(f.on_list_reply(store::found_all{{{"c", "", {30}, {}}}, {31}},
                           start_time)
@@ -406,7 +406,7 @@
         CAPTURE(r.name);
         fleet_state known({}, {});
         follower f({"", make_instance("i-0", "a"), departure_bound}, decode,
-                   known, [](const change&, effect) {});
+                   known, [](const change&, effect, store::revision) {});
         CHECK(f.start(start_time).size() == 1);
         CHECK(f.on_list_reply(two_watchers({{"c", "", {30}, {}}}), start_time)
                   .size() == 1);
@@ -453,7 +453,7 @@
         self.link_mbps = r.link_mbps;
         fleet_state known({}, {});
         follower f({"", self, departure_bound}, decode, known,
-                   [](const change&, effect) {});
+                   [](const change&, effect, store::revision) {});
         CHECK(f.start(start_time).size() == 1);
         CHECK(f.on_list_reply(store::found_all{{}, {31}}, start_time).size() ==
               1);
@@ -482,7 +482,7 @@
     self.link_mbps = 100;
     fleet_state known({}, {});
     follower f({"", self, departure_bound}, decode, known,
-               [](const change&, effect) {});
+               [](const change&, effect, store::revision) {});
     CHECK(f.start(start_time).size() == 1);
     CHECK(f.on_list_reply(two_watchers(), start_time).size() == 1);
     auto now = start_time + 100ms;
@@ -516,7 +516,7 @@
         CAPTURE(r.name);
         fleet_state known({}, {});
         follower f({"", make_instance("i-0", "a"), departure_bound}, decode,
-                   known, [](const change&, effect) {});
+                   known, [](const change&, effect, store::revision) {});
         CHECK(f.start(start_time).size() == 1);
         CHECK(f.on_list_reply(two_watchers(), start_time).size() == 1);
         const auto then =
--- a/pollenreel/fleet/simulated_region.hpp
+++ b/pollenreel/fleet/simulated_region.hpp
@@ -172,7 +172,8 @@
             : self(std::move(i)), known({}, {}),
               follow({"", self, bound, std::chrono::milliseconds(4500),
                       confirms_configuration},
-                     decode, known, [](const change&, effect) {}) {}
+                     decode, known,
+                     [](const change&, effect, store::revision) {}) {}
         instance self;
         fleet_state known;
         follower follow;
--- a/pollenreel/relay/client.cpp
+++ b/pollenreel/relay/client.cpp
@@ -55,7 +55,8 @@
                   });
 }
 
-std::string_view failure_reason(const std::optional<fleet::relay_response>& a) {
+std::string_view failure_reason(const std::optional<fleet::relay_response>& a,
+                                std::chrono::milliseconds max_age) {
     if (!a) {
         return "no answer";
     }
@@ -67,7 +68,7 @@
     case fleet::relay_status::current:
         break;
     }
-    return "response too old or role changed";
+    return a->age > max_age ? "response too old" : "role changed";
 }
 
 } // namespace pollenreel::relay
--- a/pollenreel/relay/client.hpp
+++ b/pollenreel/relay/client.hpp
@@ -48,6 +48,7 @@
 
 // Why a response could not be used, for the log.
 [[nodiscard]] std::string_view
-failure_reason(const std::optional<fleet::relay_response>& a);
+failure_reason(const std::optional<fleet::relay_response>& a,
+               std::chrono::milliseconds max_age);
 
 } // namespace pollenreel::relay
