Let relays answer while entries may be missing after an outage

An outage of the store of 2 s and more, as also the gap of a discarded history, made relays refuse all polls until 2 s after its end, the time in which entries that expired in it are written again.

Cause: a removal that may be due to the outage must not end the use of a live target, and an instance that had not noticed the outage would have applied the removal at once. Now a relayed response tells for how much longer targets and instances may be missing, and whoever gets it defers removals as long. Only in the outage itself, whose end is not known, relays still refuse. Peers that do not know the new fields read zero and act as before.

The tests "a relay tells for how long entries may be missing" (the relay was "not watching") and the round trip of the fields are new.

--- a/pollenreel/fleet/fleet_state.cpp
+++ b/pollenreel/fleet/fleet_state.cpp
@@ -212,9 +212,35 @@
 }
 
 bool fleet_state::is_restoring(const expiry& of, base::time_point now) const {
-    return now < of.restore_deadline ||
-           (m_contact_lost_at &&
-            now - *m_contact_lost_at >= of.outage_threshold);
+    return now < of.restore_deadline || is_in_outage(of, now);
+}
+
+bool fleet_state::is_in_outage(const expiry& of, base::time_point now) const {
+    return m_contact_lost_at && now - *m_contact_lost_at >= of.outage_threshold;
+}
+
+bool fleet_state::is_in_outage(base::time_point now) const {
+    return is_in_outage(m_target_expiry, now) ||
+           is_in_outage(m_instance_expiry, now);
+}
+
+restore_times fleet_state::restoring_for(base::time_point now) const {
+    const auto left = [&](const expiry& of) {
+        return std::chrono::ceil<std::chrono::milliseconds>(
+            std::max(of.restore_deadline - now, base::duration::zero()));
+    };
+    return {left(m_target_expiry), left(m_instance_expiry)};
+}
+
+void fleet_state::extend_restoring(const restore_times& t,
+                                   base::time_point now) {
+    const auto extend = [&](expiry& of, std::chrono::milliseconds by) {
+        if (by > std::chrono::milliseconds::zero()) {
+            of.restore_deadline = std::max(of.restore_deadline, now + by);
+        }
+    };
+    extend(m_target_expiry, t.targets);
+    extend(m_instance_expiry, t.instances);
 }
 
 bool fleet_state::remove_expired(base::time_point now) {
--- a/pollenreel/fleet/fleet_state.hpp
+++ b/pollenreel/fleet/fleet_state.hpp
@@ -51,6 +51,12 @@
     deferred, // removal delayed, as the outage may have caused it
 };
 
+// For how much longer entries may be missing that an outage ended.
+struct restore_times {
+    std::chrono::milliseconds targets{0};
+    std::chrono::milliseconds instances{0};
+};
+
 // Performs no I/O. Not thread-safe.
 class fleet_state {
 public:
@@ -90,6 +96,13 @@
     }
     // Whether entries may be missing because of a current or recent outage.
     [[nodiscard]] bool is_restoring(base::time_point now) const;
+    // Whether the store has been out of contact for so long that entries may
+    // expire.
+    [[nodiscard]] bool is_in_outage(base::time_point now) const;
+    // After an outage; zero in one, as its end is not known.
+    [[nodiscard]] restore_times restoring_for(base::time_point now) const;
+    // Another instance noticed an outage.
+    void extend_restoring(const restore_times& t, base::time_point now);
 
     // Removes targets and instances whose deferred removal is due. Returns
     // whether the view changed.
@@ -133,6 +146,8 @@
     deferred_removal(const expiry& of, base::time_point now) const;
     [[nodiscard]] bool is_restoring(const expiry& of,
                                     base::time_point now) const;
+    [[nodiscard]] bool is_in_outage(const expiry& of,
+                                    base::time_point now) const;
     [[nodiscard]] base::region_id
     region_of(const base::failure_domain_id& d) const;
     [[nodiscard]] target build_target(const known_target& t) const;
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -123,8 +123,7 @@
 
 follower::actions follower::follow(base::time_point now) {
     m_relay = choose_relay_now(now);
-    while (!m_relay.watcher.empty() &&
-           (m_is_rejected || !m_state.is_restoring(now))) {
+    while (!m_relay.watcher.empty()) {
         if (auto next = make_poll(now)) {
             m_open_watch_interval.reset();
             m_polling_relay = true;
@@ -376,6 +375,7 @@
     }
     m_is_current = true;
     m_state.on_contact(now - a->age);
+    m_state.extend_restoring(a->restoring_for, now);
     apply(a->changes, now);
     m_seen_revision = std::max(m_seen_revision, a->seen_revision);
     for (const auto& r : a->references) {
@@ -445,7 +445,7 @@
     const bool is_relisting = m_listing && m_seen_revision.value > 0;
     if (!(m_open_watch_interval || is_relisting) || m_retry_at ||
         !m_unread.empty() || !m_is_current || !is_store_reachable ||
-        m_state.is_restoring(now)) {
+        m_state.is_in_outage(now)) {
         return {};
     }
     // Later pages of a listing may contain changes after m_seen_revision. They
@@ -466,6 +466,7 @@
         response.confirmed_after = std::chrono::floor<milliseconds>(
             m_state.configuration_confirmed_at() - r.received_at);
     }
+    response.restoring_for = m_state.restoring_for(now);
     for (auto& c : *missed) {
         const auto bytes = c.value ? c.value->value.size() : 0;
         if (r.accepts_references && bytes > max_inline_bytes) {
--- a/pollenreel/fleet/relay_messages.hpp
+++ b/pollenreel/fleet/relay_messages.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "pollenreel/base/clock.hpp"
+#include "pollenreel/fleet/fleet_state.hpp"
 #include "pollenreel/store/messages.hpp"
 
 #include <chrono>
@@ -45,6 +46,8 @@
     // The time as of which the sender's configuration is confirmed, counted
     // from when it received the poll. Without it nothing is confirmed.
     std::optional<std::chrono::milliseconds> confirmed_after{};
+    // Removals among the changes may be due to an outage of the store.
+    restore_times restoring_for{};
     // When the poll was sent; set by the receiver.
     base::boot_time asked_at{};
 };
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -287,6 +287,45 @@
           std::vector<std::int64_t>{50});
 }
 
+// After an outage relays answered nobody for as long as entries may be missing,
+// and every instance watched the store itself.
+TEST_CASE("a relay tells for how long entries may be missing") {
+    const std::vector<store::entry> targets = {{"t/a", "", {30}, {}},
+                                               {"t/b", "", {30}, {}}};
+    fleet_state relayed({}, {});
+    follower relay({"", make_instance("i-2", "b"), departure_bound}, decode,
+                   relayed, [](const change&, effect, store::revision) {});
+    CHECK(relay.start(start_time).size() == 1);
+    CHECK(relay.on_list_reply(store::found_all{targets, {31}}, start_time)
+              .size() == 1);
+    relayed.on_contact_lost();
+    auto now = start_time + 5s;
+    CHECK(relay.make_relay_response({{31}, 0ms}, true, now).status ==
+          relay_status::not_watching);
+    CHECK(relay.on_watch_report(store::watch_changed{{removed("t/a", 40)}}, now)
+              .empty());
+    now += 500ms;
+    const auto response = relay.make_relay_response({{31}, 0ms}, true, now);
+    CHECK(response.status == relay_status::current);
+    CHECK(response.restoring_for.targets == 1500ms);
+    CHECK(response.restoring_for.instances == 1500ms);
+    CHECK(revisions(response.changes) == std::vector<std::int64_t>{40});
+
+    // It took the relay's silence for no outage of the store.
+    fleet_state known({}, {});
+    follower f({"", make_instance("i-0", "a"), departure_bound}, decode, known,
+               [](const change&, effect, store::revision) {});
+    CHECK(f.start(start_time).size() == 1);
+    CHECK(f.on_list_reply(two_watchers(targets), start_time).size() == 1);
+    CHECK(f.on_relay_response(response, now).size() == 1);
+    CHECK(known.target_count() == 2);
+    CHECK(known.remove_expired(now)); // all instances are known now
+    CHECK_FALSE(known.remove_expired(now + 1499ms));
+    CHECK(known.target_count() == 2);
+    CHECK(known.remove_expired(now + 1500ms));
+    CHECK(known.target_count() == 1);
+}
+
 // A watcher that had been turned away by the store told the instances that
 // polled it that its old state was current (DRAIN).
 TEST_CASE("a watcher relays nothing until it has caught up with the store") {
--- a/pollenreel/relay/codec.cpp
+++ b/pollenreel/relay/codec.cpp
@@ -85,6 +85,8 @@
         message.set_confirmed_after_ms(
             static_cast<std::int32_t>(after.count()));
     }
+    message.set_targets_restoring_ms(to_wire_ms(a.restoring_for.targets));
+    message.set_instances_restoring_ms(to_wire_ms(a.restoring_for.instances));
     for (const auto& c : a.changes) {
         encode_change(*message.add_changes(), c);
     }
@@ -146,6 +148,11 @@
     }
     fleet::relay_response response{
         *status, {message.seen_revision()}, milliseconds(message.age_ms()), {}};
+    const auto from_wire = [](std::uint32_t ms) {
+        return std::min(milliseconds(ms), max_wire_duration);
+    };
+    response.restoring_for = {from_wire(message.targets_restoring_ms()),
+                              from_wire(message.instances_restoring_ms())};
     response.changes.reserve(static_cast<std::size_t>(message.changes_size()));
     for (const auto& c : message.changes()) {
         response.changes.push_back(decode_change(c));
--- a/pollenreel/relay/codec_test.cpp
+++ b/pollenreel/relay/codec_test.cpp
@@ -67,6 +67,26 @@
     }
 }
 
+TEST_CASE("times for which entries may be missing survive a round trip") {
+    struct row {
+        fleet::restore_times stated;
+        fleet::restore_times read;
+    };
+    const row rows[] = {
+        {{0ms, 0ms}, {0ms, 0ms}},
+        {{1500ms, 700ms}, {1500ms, 700ms}},
+        {{61s, 0ms}, {60s, 0ms}},
+    };
+    for (const auto& r : rows) {
+        fleet::relay_response sent{fleet::relay_status::current, {1}, {}, {}};
+        sent.restoring_for = r.stated;
+        const auto read = relay::decode_response(relay::encode(sent));
+        REQUIRE(read.has_value());
+        CHECK(read->restoring_for.targets == r.read.targets);
+        CHECK(read->restoring_for.instances == r.read.instances);
+    }
+}
+
 TEST_CASE("malformed requests and responses are rejected") {
     struct row {
         const char* name;
