Check that configurations come as timely as evacuations, also with keys

The tests of evacuations that wait for a crowd, for the store's return, or at instances that the store turns away now write a configuration beside the evacuation, and the first of them also runs in regions that confirm the configuration for keys.

--- a/pollenreel/fleet/relay_region_test.cpp
+++ b/pollenreel/fleet/relay_region_test.cpp
@@ -230,11 +230,23 @@
 TEST_CASE("an evacuation while watches are mute needs no crowd of listings") {
     constexpr auto bound = 4000ms;
     constexpr int rounds = 3;
-    for (const int instances : {12, 98}) {
+    struct row {
+        const char* name;
+        int instances;
+        bool confirms_configuration;
+    };
+    const row rows[] = {
+        {"a small region", 12, false},
+        {"a small region with keys", 12, true},
+        {"a large region", 98, false},
+        {"a large region with keys", 98, true},
+    };
+    for (const auto& row : rows) {
         for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-            CAPTURE(instances);
+            CAPTURE(row.name);
             CAPTURE(seed);
-            simulated_region r(instances, seed, bound);
+            simulated_region r(row.instances, seed, bound,
+                               row.confirms_configuration);
             r.list_time = 300ms;
             r.advance(5s + std::chrono::milliseconds(seed * 331));
             const int calls = r.store_calls;
@@ -243,12 +255,15 @@
                 r.mute_watches();
                 r.advance(500ms);
                 r.write("e/z");
+                r.write("c");
+                const auto written = r.newest_revision();
                 r.advance(500ms);
                 r.compact_and_cut_watches();
                 r.advance(bound - 500ms);
                 for (std::size_t i = 0; i < r.size(); ++i) {
                     CAPTURE(i);
                     CHECK(r.knows_evacuation(i));
+                    CHECK(r.configuration_known_by(i) >= written);
                 }
                 r.remove("e/z");
                 r.advance(bound);
@@ -298,10 +313,13 @@
             }
             r.advance(std::chrono::milliseconds(seed * 147));
             r.write("e/z");
+            r.write("c");
+            const auto written = r.newest_revision();
             r.advance(bound);
             for (std::size_t i = 0; i < r.size(); ++i) {
                 CAPTURE(i);
                 CHECK(r.knows_evacuation(i));
+                CHECK(r.configuration_known_by(i) >= written);
             }
         }
     }
@@ -324,12 +342,15 @@
             r.cut_off.clear();
             const int calls = r.store_calls;
             r.write("e/z");
+            r.write("c");
+            const auto written = r.newest_revision();
             r.advance(bound);
             CHECK(r.store_calls - calls <=
                   max_direct_instances * max_calls_each);
             for (std::size_t i = 0; i < r.size(); ++i) {
                 CAPTURE(i);
                 CHECK(r.knows_evacuation(i));
+                CHECK(r.configuration_known_by(i) >= written);
             }
         }
     }
