--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -1,6 +1,7 @@
 #include "pollenreel/fleet/follower.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pollenreel::fleet {
 
@@ -117,7 +118,7 @@
         avoided.insert(id);
     }
     return choose_relay(m_state.instances(), m_options.self, avoided,
-                        m_options.confirms_configuration && m_is_rejected);
+                        m_is_rejected);
 }
 
 follower::actions follower::follow(base::time_point now) {
@@ -328,12 +329,13 @@
 follower::actions follower::on_report(const store::watch_closed&,
                                       base::time_point now) {
     m_state.on_contact_lost();
-    m_is_current = false;
+    const bool was_current = std::exchange(m_is_current, false);
     m_report_due_at.reset();
-    m_retry_at = now + m_backoff.next_delay(max_watch_retry_delay);
-    if (!m_options.confirms_configuration) {
-        return {};
+    if (was_current && !m_options.confirms_configuration) {
+        // The store cuts watches as it discards its history.
+        return watch_store(now);
     }
+    m_retry_at = now + m_backoff.next_delay(max_watch_retry_delay);
     m_is_rejected = true;
     m_relay = choose_relay_now(now);
     if (m_relay.watcher.empty()) {
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -42,7 +42,7 @@
     // crashed instance stays announced.
     std::chrono::milliseconds relay_retry_delay{4500};
     // Tells other instances as of when the configuration is confirmed, and
-    // polls more of them while the store rejects this one.
+    // polls them as soon as a watch ends.
     bool confirms_configuration = false;
 };
 
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -312,6 +312,11 @@
                   .size() == 1);
         CHECK(status(start_time) == relay_status::current);
         auto now = start_time + 100ms;
+        // A watch that worked is opened again at once.
+        const auto again = f.on_watch_report(store::watch_closed{}, now);
+        REQUIRE(again.size() == 1);
+        CHECK(std::holds_alternative<follower::watch>(again[0]));
+        CHECK(status(now) != relay_status::current);
         CHECK(f.on_watch_report(store::watch_closed{}, now).empty());
         CHECK(status(now) != relay_status::current);
         now += 9s;
