--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -1,6 +1,7 @@
 #include "pollenreel/fleet/follower.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace pollenreel::fleet {
@@ -17,12 +18,29 @@
 constexpr int direct_watch_percent = 70;
 // Interval of a watch that serves other instances too.
 constexpr int relay_watch_percent = 45;
-// How old the state may grow before a follower leaves the first relay for the
-// second, and the second for the store itself, which takes the rest.
+// How old the state may grow before an instance leaves the first relay for the
+// second, and the second for the next ones.
 constexpr int first_relay_percent = 60;
-constexpr int last_relay_percent = 75;
-// A poll that could wait for no longer than this is not worth sending.
+constexpr int second_relay_percent = 75;
+// Standbys watch the store before the followers poll them.
+constexpr int standby_second_relay_percent = 70;
+// A follower that no relay serves watches the store itself from the age at
+// which it leaves the first one. If relays answered that they lost the store,
+// it most likely is out of everyone's reach, or overloaded: then only the
+// followers of the lowest ranks watch it, from a greater age, and twice as many
+// each time that the age grows by so much.
+constexpr int follower_watch_percent = 90;
+constexpr int follower_stagger_percent = 25;
+// The least time-out of a poll. A standby does not send one that could wait for
+// less, a follower lets it wait longer.
 constexpr int min_poll_percent = 15;
+constexpr int min_standby_poll_percent = 5;
+// An answer that the store is out of reach is taken as current for so long.
+constexpr int store_lost_percent = 40;
+// A relay that answered so is polled again after this.
+constexpr int relay_pause_percent = 15;
+// Pause between two polls after all relays failed.
+constexpr int repoll_percent = 5;
 // Part of a poll's time-out that is left for the response to arrive.
 constexpr int relay_response_percent = 10;
 // Larger values are sent apart from the other changes, which they would delay.
@@ -93,6 +111,7 @@
 
 follower::actions follower::start(base::time_point) {
     m_retry_at.reset();
+    m_repoll_at.reset();
     m_open_watch_interval.reset();
     m_polling_relay = false;
     m_listing = true;
@@ -104,7 +123,8 @@
 }
 
 milliseconds follower::watch_interval() const {
-    const int percent = m_relay.role == relay_role::watcher
+    const int percent = m_relay.role == relay_role::watcher ||
+                                m_relay.role == relay_role::standby
                             ? relay_watch_percent
                             : direct_watch_percent;
     return m_options.departure_bound * percent / 100;
@@ -122,6 +142,8 @@
 }
 
 follower::actions follower::follow(base::time_point now) {
+    m_report_due_at.reset();
+    m_repoll_at.reset();
     m_relay = choose_relay_now(now);
     while (!m_relay.watcher.empty()) {
         if (auto next = make_poll(now)) {
@@ -129,12 +151,40 @@
             m_polling_relay = true;
             return {std::move(*next)};
         }
-        avoid_relay(now);
+        avoid_relay(now, m_options.relay_retry_delay);
         m_relay = choose_relay_now(now);
     }
+    if (m_relay.role == relay_role::follower && !m_is_rejected &&
+        !m_open_watch_interval && contact_age(now) < watch_age(now)) {
+        m_polling_relay = false;
+        m_repoll_at = now + percent_of_bound(repoll_percent);
+        return {};
+    }
     return watch_store(now);
 }
 
+milliseconds follower::percent_of_bound(int percent) const {
+    return m_options.departure_bound * percent / 100;
+}
+
+milliseconds follower::contact_age(base::time_point now) const {
+    return std::chrono::duration_cast<milliseconds>(now -
+                                                    m_state.last_contact_at());
+}
+
+milliseconds follower::watch_age(base::time_point now) const {
+    const bool is_store_lost =
+        m_store_lost_by_relay_at &&
+        now - *m_store_lost_by_relay_at < percent_of_bound(store_lost_percent);
+    if (!is_store_lost) {
+        return percent_of_bound(first_relay_percent);
+    }
+    const auto doublings = std::bit_width(m_relay.rank / relays_per_region) - 1;
+    return percent_of_bound(follower_watch_percent +
+                            follower_stagger_percent *
+                                std::max(0, static_cast<int>(doublings)));
+}
+
 follower::actions follower::watch_store(base::time_point now) {
     m_polling_relay = false;
     m_report_due_at.reset();
@@ -161,36 +211,44 @@
 }
 
 milliseconds follower::max_contact_age() const {
-    const bool is_last = m_avoided_until.size() + 1 >= watchers_per_region;
-    const int percent = is_last ? last_relay_percent : first_relay_percent;
-    return m_options.departure_bound * percent / 100;
+    if (m_avoided_until.empty()) {
+        return percent_of_bound(first_relay_percent);
+    }
+    if (m_relay.role == relay_role::standby) {
+        return percent_of_bound(standby_second_relay_percent);
+    }
+    return percent_of_bound(m_avoided_until.size() < watchers_per_region
+                                ? second_relay_percent
+                                : follower_watch_percent);
 }
 
 std::optional<follower::poll> follower::make_poll(base::time_point now) const {
     // The state is already as old as the last contact, so only the rest of its
     // maximum age is left to wait.
-    const auto age = std::chrono::duration_cast<milliseconds>(
-        now - m_state.last_contact_at());
+    const auto age = contact_age(now);
     auto timeout = max_contact_age() - age;
-    const auto percent = [&](int p) {
-        return m_options.departure_bound * p / 100;
-    };
-    if (timeout < percent(min_poll_percent)) {
-        if (age < m_options.departure_bound && !m_is_rejected) {
+    // A process that was suspended, or is rejected by the store, catches up
+    // through a relay, however old its state is.
+    const bool may_watch = !m_is_rejected && age < m_options.departure_bound;
+    if (m_relay.role == relay_role::standby && may_watch) {
+        if (timeout < percent_of_bound(min_standby_poll_percent)) {
             return std::nullopt;
         }
-        // The process was suspended, or the store is not to be had; a relay is
-        // the quickest way to catch up.
-        timeout = percent(min_poll_percent);
+    } else {
+        const bool is_late = age >= percent_of_bound(follower_watch_percent);
+        if (may_watch && is_late && age >= watch_age(now)) {
+            return std::nullopt;
+        }
+        timeout = std::max(timeout, percent_of_bound(min_poll_percent));
     }
+    const auto reserve =
+        std::min(percent_of_bound(relay_response_percent), timeout / 2);
     return poll{
-        m_relay.endpoint,
-        {m_seen_revision, timeout - percent(relay_response_percent), true},
-        timeout};
+        m_relay.endpoint, {m_seen_revision, timeout - reserve, true}, timeout};
 }
 
-void follower::avoid_relay(base::time_point now) {
-    m_avoided_until[m_relay.watcher] = now + m_options.relay_retry_delay;
+void follower::avoid_relay(base::time_point now, milliseconds for_time) {
+    m_avoided_until[m_relay.watcher] = now + for_time;
 }
 
 follower::actions follower::on_list_reply(const store::reply& r,
@@ -370,9 +428,18 @@
     }
     if (!a || a->status != relay_status::current ||
         a->age > max_contact_age()) {
-        avoid_relay(now);
+        if (a && (a->status == relay_status::store_lost ||
+                  a->status == relay_status::current)) {
+            m_store_lost_by_relay_at = now;
+        }
+        // A standby keeps its watch for others that poll it.
+        const bool is_brief = a && a->status != relay_status::behind &&
+                              m_relay.role == relay_role::follower;
+        avoid_relay(now, is_brief ? percent_of_bound(relay_pause_percent)
+                                  : m_options.relay_retry_delay);
         return follow(now);
     }
+    m_store_lost_by_relay_at.reset();
     m_is_current = true;
     m_state.on_contact(now - a->age);
     m_state.extend_restoring(a->restoring_for, now);
@@ -443,9 +510,14 @@
                                              base::time_point now) const {
     // A listing in progress will soon show what was missed.
     const bool is_relisting = m_listing && m_seen_revision.value > 0;
-    if (!(m_open_watch_interval || is_relisting) || m_retry_at ||
-        !m_unread.empty() || !m_is_current || !is_store_reachable ||
+    if (!m_open_watch_interval && !is_relisting) {
+        return {};
+    }
+    if (m_retry_at || !m_is_current || !is_store_reachable ||
         m_state.is_in_outage(now)) {
+        return {relay_status::store_lost, {}, {}, {}};
+    }
+    if (!m_unread.empty()) {
         return {};
     }
     // Later pages of a listing may contain changes after m_seen_revision. They
@@ -496,14 +568,19 @@
     m_backoff.reset();
     m_state.on_contact(now);
     m_is_current = false;
-    return watch_store(now);
+    m_open_watch_interval.reset();
+    return follow(now);
 }
 
 follower::actions follower::tick(base::time_point now) {
     actions due;
+    if (m_repoll_at && now >= *m_repoll_at) {
+        m_repoll_at.reset();
+        due = follow(now);
+    }
     if (m_retry_at && now >= *m_retry_at) {
         m_retry_at.reset();
-        due = m_seen_revision.value == 0 ? start(now) : watch_store(now);
+        due = m_seen_revision.value == 0 ? start(now) : follow(now);
     }
     if (m_report_due_at && now >= *m_report_due_at + max_report_delay &&
         !m_listing) {
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -159,10 +159,18 @@
     // Confirms the configuration once nothing is missing.
     void confirm_configuration();
     // Does not poll the chosen relay for a while.
-    void avoid_relay(base::time_point now);
+    void avoid_relay(base::time_point now, std::chrono::milliseconds for_time);
     [[nodiscard]] relay_choice choose_relay_now(base::time_point now);
-    // Polls a relay if there is one to use, else watches the store.
+    // Polls a relay if there is one to use, else watches the store, unless that
+    // is left to others for now.
     actions follow(base::time_point now);
+    // The age of the state at which it watches the store although relays
+    // answer.
+    [[nodiscard]] std::chrono::milliseconds
+    watch_age(base::time_point now) const;
+    [[nodiscard]] std::chrono::milliseconds
+    contact_age(base::time_point now) const;
+    [[nodiscard]] std::chrono::milliseconds percent_of_bound(int percent) const;
     [[nodiscard]] std::chrono::milliseconds watch_interval() const;
 
     follower_options m_options;
@@ -184,6 +192,10 @@
     std::optional<base::time_point> m_report_due_at;
     bool m_polling_relay = false;
     std::map<base::instance_id, base::time_point> m_avoided_until;
+    // When all relays failed.
+    std::optional<base::time_point> m_repoll_at;
+    // The latest answer of a relay that it has lost the store.
+    std::optional<base::time_point> m_store_lost_by_relay_at;
     // Keys that were relayed as references, with their revisions, until they
     // have been read.
     std::map<std::string, store::revision> m_unread;
--- a/pollenreel/fleet/relay_choice.cpp
+++ b/pollenreel/fleet/relay_choice.cpp
@@ -13,16 +13,17 @@
 
 using candidates = std::vector<const instance*>;
 
+auto weight_of(const instance& i) {
+    return std::pair(i.link_mbps, rendezvous_score(i.region.str(), i.id.str()));
+}
+
 // Puts the first `count` in order, of which there must be so many.
 candidates::iterator rank(candidates& all, std::size_t count) {
     const auto end = all.begin() + static_cast<std::ptrdiff_t>(count);
-    const auto rank_of = [](const instance* i) {
-        return std::pair(i->link_mbps,
-                         rendezvous_score(i->region.str(), i->id.str()));
-    };
-    std::partial_sort(
-        all.begin(), end, all.end(),
-        [&](const auto* a, const auto* b) { return rank_of(a) > rank_of(b); });
+    std::partial_sort(all.begin(), end, all.end(),
+                      [&](const auto* a, const auto* b) {
+                          return weight_of(*a) > weight_of(*b);
+                      });
     return end;
 }
 
@@ -34,6 +35,8 @@
         return "alone";
     case relay_role::watcher:
         return "watcher";
+    case relay_role::standby:
+        return "standby";
     case relay_role::follower:
         break;
     }
@@ -47,30 +50,33 @@
     if (!self.relay_endpoint) {
         return {};
     }
-    candidates all;
-    if (!is_rejected) {
-        all.push_back(&self);
-    }
+    candidates others;
     for (const auto& i : live) {
         if (i.region == self.region && i.relay_endpoint && i.id != self.id) {
-            all.push_back(&i);
+            others.push_back(&i);
         }
     }
-    if (all.size() == (is_rejected ? 0 : 1)) {
+    if (others.empty()) {
         return {};
     }
-    const auto end =
-        rank(all, std::min(all.size(), is_rejected ? relays_tried_if_rejected
-                                                   : watchers_per_region));
-    if (std::find(all.begin(), end, &self) != end) {
-        return {relay_role::watcher, {}, {}};
+    const auto own_rank = static_cast<std::size_t>(
+        std::count_if(others.begin(), others.end(), [&](const auto* i) {
+            return weight_of(*i) > weight_of(self);
+        }));
+    if (!is_rejected && own_rank < watchers_per_region) {
+        return {relay_role::watcher, {}, {}, own_rank};
     }
+    const bool is_standby = !is_rejected && own_rank < relays_per_region;
+    const auto role = is_standby ? relay_role::standby : relay_role::follower;
+    const auto end =
+        rank(others, std::min(others.size(),
+                              is_standby ? own_rank : relays_per_region));
     const auto chosen = std::find_if(
-        all.begin(), end, [&](auto* i) { return !avoided.contains(i->id); });
+        others.begin(), end, [&](auto* i) { return !avoided.contains(i->id); });
     if (chosen == end) {
-        return {relay_role::follower, {}, {}};
+        return {role, {}, {}, own_rank};
     }
-    return {relay_role::follower, (*chosen)->id, *(*chosen)->relay_endpoint};
+    return {role, (*chosen)->id, *(*chosen)->relay_endpoint, own_rank};
 }
 
 std::vector<instance> watchers_of(const std::vector<instance>& live,
--- a/pollenreel/fleet/relay_choice.hpp
+++ b/pollenreel/fleet/relay_choice.hpp
@@ -1,8 +1,9 @@
 // Chooses the instances of a region that watch the platform's store for the
 // others: those with the widest links, in rendezvous order where links are
 // equal. There are two, so that the second can take over from a first that
-// dies, stalls or is overloaded. All instances with the same view choose the
-// same ones, without exchanging messages.
+// dies, stalls or is overloaded. The next ones stand by: they watch the store
+// once both watchers fail, before the others give these up. All instances with
+// the same view choose the same ones, without exchanging messages.
 #pragma once
 
 #include "pollenreel/base/endpoint.hpp"
@@ -16,31 +17,34 @@
 namespace pollenreel::fleet {
 
 constexpr std::size_t watchers_per_region = 2;
+// Watchers and standbys. With a third of them rejected by the store, one
+// instance in 700 finds none that is not.
+constexpr std::size_t relays_per_region = 6;
 
 enum class relay_role {
     alone,    // no other instance of the region takes part
     watcher,  // watches the store and is polled by the others
-    follower, // polls a watcher
+    standby,  // polls a watcher; watches the store while both fail
+    follower, // polls a watcher, or a standby
 };
 
 [[nodiscard]] std::string_view to_string(relay_role r);
 
 struct relay_choice {
     relay_role role = relay_role::alone;
-    // The watcher to poll; set for a follower, unless all are to be avoided.
+    // The relay to poll; set for a standby or follower, unless all are to be
+    // avoided.
     base::instance_id watcher;
     base::endpoint endpoint; // the watcher's relay listener
+    // Of this instance among those of its region, from 0.
+    std::size_t rank = 0;
 
     friend bool operator==(const relay_choice&, const relay_choice&) = default;
 };
 
-// How many instances of its region an instance tries that the store rejects:
-// with a third of them rejected too, one in 700 finds none.
-constexpr std::size_t relays_tried_if_rejected = 6;
-
-// Only instances with a relay endpoint take part. A follower polls the first
-// watcher that is not in `avoided`. If the store rejects this instance, it is a
-// follower, and polls further instances after the watchers.
+// Only instances with a relay endpoint take part. Each polls the first relay
+// that is not in `avoided`, a standby only those that rank before it. If the
+// store rejects this instance, it is a follower.
 [[nodiscard]] relay_choice
 choose_relay(const std::vector<instance>& live, const instance& self,
              const std::set<base::instance_id>& avoided = {},
--- a/pollenreel/fleet/relay_messages.hpp
+++ b/pollenreel/fleet/relay_messages.hpp
@@ -33,7 +33,8 @@
 enum class relay_status {
     current,      // contains all changes up to `seen_revision`
     behind,       // some changes after `known_revision` are no longer kept
-    not_watching, // does not watch the store, or just lost contact
+    not_watching, // does not watch the store
+    store_lost,   // does, and has lost contact
 };
 
 struct relay_response {
--- a/pollenreel/relay/client.cpp
+++ b/pollenreel/relay/client.cpp
@@ -65,6 +65,8 @@
         return "behind";
     case fleet::relay_status::not_watching:
         return "not watching";
+    case fleet::relay_status::store_lost:
+        return "store lost";
     case fleet::relay_status::current:
         break;
     }
--- a/pollenreel/relay/codec.cpp
+++ b/pollenreel/relay/codec.cpp
@@ -29,6 +29,8 @@
         return fleet::relay_status::behind;
     case wire::RelayAnswer::NOT_WATCHING:
         return fleet::relay_status::not_watching;
+    case wire::RelayAnswer::STORE_LOST:
+        return fleet::relay_status::store_lost;
     default:
         return std::nullopt;
     }
@@ -40,6 +42,8 @@
         return wire::RelayAnswer::CURRENT;
     case fleet::relay_status::behind:
         return wire::RelayAnswer::BEHIND;
+    case fleet::relay_status::store_lost:
+        return wire::RelayAnswer::STORE_LOST;
     case fleet::relay_status::not_watching:
         break;
     }
