Log the way of a large value from the relay's word to its use

A configuration that came late could not be told from one that was decoded or applied late, nor a transfer that was slow from one that was begun several times. New are `value_referenced`, `value_transferred` (from whom, bytes, duration, and what stopped it with how much had arrived) and `configuration_applied` (the traffic thread's wait and work); `configuration_received` tells the revision, the time for decoding and that since the reference; `store_lost` tells why. Counters: transfers of large values, failures, bytes. No decision depends on any of it.

--- a/pollenreel/entry/change_log.hpp
+++ b/pollenreel/entry/change_log.hpp
@@ -16,6 +16,10 @@
     // Since the store last confirmed the state before this change.
     std::chrono::milliseconds previous_contact_age{};
     store::revision at; // of the change
+    // What it took to read the change's value.
+    std::chrono::milliseconds decode_time{};
+    // Since it became known that the key had changed.
+    std::chrono::milliseconds transfer_time{};
 };
 
 // One line for a change that altered, or was kept from altering, a belief.
--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -14,6 +14,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
+#include <map>
+#include <string>
 #include <utility>
 
 #include <sys/stat.h>
@@ -86,10 +88,12 @@
           m_log(std::move(log)), m_out(out), m_tick(io),
           m_signals(io, SIGTERM, SIGINT, SIGHUP),
           m_beliefs(m_settings.regions, belief_options_of(m_settings)),
-          m_follower(follower_options_of(m_settings, m_options.layout),
-                     m_options.layout.decode, m_beliefs,
-                     [this](const fleet::change& c, fleet::effect e,
-                            store::revision at) { on_change(c, e, at); }),
+          m_follower(
+              follower_options_of(m_settings, m_options.layout),
+              [this](const store::key_change& c) { return decode(c); },
+              m_beliefs,
+              [this](const fleet::change& c, fleet::effect e,
+                     store::revision at) { on_change(c, e, at); }),
           m_asker(io, clock), m_announcer({m_options.layout.announce_key,
                                            m_options.layout.announce_value,
                                            m_settings.stable_window}),
@@ -150,7 +154,16 @@
     }
 
     void run(const fleet::follower::read& r) {
-        call(store::read{r.key}, [this, key = r.key](const store::reply& a) {
+        call(store::read{r.key}, [this, key = r.key, asked_at = m_clock.now()](
+                                     const store::reply& a) {
+            const auto* found = std::get_if<store::found>(&a);
+            const auto* silent = std::get_if<store::unanswered>(&a);
+            const bool has_value = found != nullptr && found->value;
+            note_transfer({"store", key, asked_at,
+                           has_value ? found->value->value.size() : 0,
+                           found != nullptr    ? ""
+                           : silent != nullptr ? silent->problem
+                                               : "refused"});
             run(m_follower.on_read_reply(key, a, m_clock.now()));
         });
     }
@@ -158,12 +171,67 @@
     void run(const fleet::follower::fetch& f) {
         m_asker.fetch(
             f.endpoint, f.key, f.timeout,
-            [this, key = f.key](const std::optional<store::key_change>& c) {
-                run(m_follower.on_fetch_response(key, c, m_clock.now()));
+            [this, key = f.key, from = f.endpoint.str(),
+             asked_at =
+                 m_clock.now()](const base::result<store::key_change>& c) {
+                const bool has_value = c && c.value().value;
+                note_transfer({from, key, asked_at,
+                               has_value ? c.value().value->value.size() : 0,
+                               c ? "" : c.error().text()});
+                run(m_follower.on_fetch_response(
+                    key, c ? std::optional(c.value()) : std::nullopt,
+                    m_clock.now()));
             });
     }
 
+    // A large value that travels apart from other changes.
+    struct transfer {
+        std::string from;
+        std::string key;
+        base::time_point asked_at;
+        std::size_t bytes;
+        std::string problem; // empty: none
+    };
+
+    void note_transfer(const transfer& t) {
+        ++m_counts.value_transfers;
+        m_counts.value_transfer_failures += t.problem.empty() ? 0 : 1;
+        m_counts.value_bytes += t.bytes;
+        m_log.info("value_transferred", {{"key", t.key},
+                                         {"from", t.from},
+                                         {"bytes", t.bytes},
+                                         {"took_ms", since(t.asked_at)},
+                                         {"problem", t.problem}});
+    }
+
+    void note_references(const fleet::relay_response& r) {
+        for (const auto& reference : r.references) {
+            m_referenced_at.try_emplace(reference.key, m_clock.now());
+            m_log.info("value_referenced",
+                       {{"key", reference.key},
+                        {"revision", reference.at.value},
+                        {"relay", m_follower.relay().watcher.str()},
+                        {"previous_contact_age_ms",
+                         since(m_beliefs.last_contact_at())}});
+        }
+    }
+
+    fleet::change decode(const store::key_change& c) {
+        const auto began = m_clock.now();
+        auto decoded = m_options.layout.decode(c);
+        m_decode_time =
+            std::chrono::duration_cast<milliseconds>(m_clock.now() - began);
+        const auto referenced = m_referenced_at.extract(c.key);
+        m_transfer_time = referenced ? std::chrono::duration_cast<milliseconds>(
+                                           began - referenced.mapped())
+                                     : milliseconds::zero();
+        return decoded;
+    }
+
     void on_relayed(const std::optional<fleet::relay_response>& answer) {
+        if (answer) {
+            note_references(*answer);
+        }
         const auto polled = m_follower.relay();
         const auto max_age = m_follower.max_contact_age();
         const auto actions =
@@ -240,7 +308,9 @@
             } else {
                 m_beliefs.on_reply(m_clock.now());
             }
-            const bool regained = note_store(!failed, "call");
+            const auto* silent = std::get_if<store::unanswered>(&a);
+            const bool regained = note_store(
+                !failed, "call", silent != nullptr ? silent->problem : "");
             done(a);
             if (regained) {
                 run(m_follower.on_store_regained(m_clock.now()));
@@ -249,11 +319,12 @@
     }
 
     void on_report(const store::watch_report& r) {
-        const bool cut = std::holds_alternative<store::watch_closed>(r);
+        const auto* closed = std::get_if<store::watch_closed>(&r);
+        const bool cut = closed != nullptr;
         if (!std::holds_alternative<store::watch_opened>(r)) {
             ++m_counts.store_calls;
             ++(cut ? m_counts.store_failures : m_counts.store_watch_returns);
-            note_store(!cut, "watch");
+            note_store(!cut, "watch", cut ? closed->problem : "");
         }
         if (std::holds_alternative<store::watch_compacted>(r)) {
             m_log.info("store_history_lost");
@@ -272,7 +343,8 @@
 
     // One line when the store is lost, and one when it answers again; true in
     // the latter case.
-    bool note_store(bool reached, std::string_view by) {
+    bool note_store(bool reached, std::string_view by,
+                    std::string_view problem) {
         if (reached == std::exchange(m_store_reached, reached)) {
             return false;
         }
@@ -281,7 +353,7 @@
                 "store_regained",
                 {{"by", by}, {"gap_ms", since(m_beliefs.last_contact_at())}});
         } else {
-            m_log.warning("store_lost", {{"by", by}});
+            m_log.warning("store_lost", {{"by", by}, {"problem", problem}});
             tell_askers();
         }
         return reached;
@@ -302,7 +374,7 @@
                    {m_follower.source(),
                     std::chrono::duration_cast<milliseconds>(
                         m_clock.now() - m_published_contact),
-                    at});
+                    at, m_decode_time, m_transfer_time});
         const auto* gone = std::get_if<fleet::instance_removed>(&c);
         if (gone != nullptr && gone->id == m_settings.id) {
             m_announcer.on_key_removed(m_clock.now());
@@ -491,6 +563,11 @@
     base::time_point m_published_contact{};
     base::boot_time m_published_confirmation{};
     base::time_point m_polled_at{}; // the relay
+    // Keys whose new value is still to be transferred.
+    std::map<std::string, base::time_point> m_referenced_at;
+    // Of the change that was decoded last.
+    milliseconds m_decode_time{};
+    milliseconds m_transfer_time{};
     bool m_store_reached = true;
     bool m_keys_fresh = m_settings.limits.revocation_bound.count() == 0;
     std::optional<base::time_point> m_stop_at;
--- a/pollenreel/entry/traffic.cpp
+++ b/pollenreel/entry/traffic.cpp
@@ -166,7 +166,11 @@
                                     .count()}});
             }
             log_new_evacuations(*v, waited);
+            const bool is_new = has_new_routes(*v);
             take(v);
+            if (is_new) {
+                log_new_routes(at, waited);
+            }
         });
     }
 
@@ -270,10 +274,26 @@
                          domain) != v.evacuated_domains.end();
     }
 
+    [[nodiscard]] bool has_new_routes(const fleet::view& v) const {
+        return v.routes && (!m_view || m_view->routes != v.routes);
+    }
+
+    // After they were taken.
+    void log_new_routes(base::time_point published_at,
+                        base::duration waited) const {
+        const auto in_ms = [](base::duration d) {
+            return std::chrono::duration_cast<milliseconds>(d).count();
+        };
+        m_log.info("configuration_applied",
+                   {{"version", m_view->routes->source().version.value()},
+                    {"waited_ms", in_ms(waited)},
+                    {"took_ms", in_ms(m_clock.now() - published_at - waited)}});
+    }
+
     void take(const fleet::view_ptr& v) {
-        const bool new_routes = !m_view || m_view->routes != v->routes;
+        const bool new_routes = has_new_routes(*v);
         m_view = v;
-        if (new_routes && v->routes) {
+        if (new_routes) {
             const auto& l = v->routes->source().limits;
             m_callers.set_limits({l.header_bytes, l.body_bytes},
                                  l.header_timeout, l.idle_timeout);
--- a/pollenreel/entry/traffic.hpp
+++ b/pollenreel/entry/traffic.hpp
@@ -29,6 +29,10 @@
     std::atomic<std::uint64_t> relay_failures{0}; // of them, of no use
     std::atomic<std::uint64_t> relay_answers{0};  // to others
     std::atomic<std::uint64_t> relay_answer_bytes{0};
+    // Large values that were transferred apart, from relays and the store.
+    std::atomic<std::uint64_t> value_transfers{0};
+    std::atomic<std::uint64_t> value_transfer_failures{0};
+    std::atomic<std::uint64_t> value_bytes{0};       // of those that succeeded
     std::atomic<std::uint64_t> exchange_calls{0};    // to other instances
     std::atomic<std::uint64_t> exchange_failures{0}; // of them, without use
     std::atomic<std::uint64_t> exchange_bytes{0};    // sent and received
--- a/pollenreel/entry/traffic_metrics.cpp
+++ b/pollenreel/entry/traffic_metrics.cpp
@@ -138,6 +138,13 @@
     page.counter("pollenreel_relay_answer_bytes_total",
                  "Bytes in answers to other instances that asked for changes.",
                  c.relay_answer_bytes);
+    page.counter("pollenreel_value_transfers_total",
+                 "Transfers of large values from relays and the store.",
+                 c.value_transfers);
+    page.counter("pollenreel_value_transfer_failures_total",
+                 "Of these, without a value.", c.value_transfer_failures);
+    page.counter("pollenreel_value_bytes_total",
+                 "Bytes of the large values received.", c.value_bytes);
 }
 
 // Nothing where the instance never took part in an exchange.
--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <string>
 #include <utility>
 
 namespace pollenreel::http {
@@ -337,7 +338,7 @@
             return;
         }
         if (e) {
-            return finish(read_failure(e));
+            return finish(body_failure(e));
         }
         if (!m_memory->count(m_parser->get().body(), is_length_known())) {
             return finish(no_memory());
@@ -354,6 +355,16 @@
         on_answer();
     }
 
+    [[nodiscard]] base::failure body_failure(const beast::error_code& e) const {
+        auto failure = read_failure(e);
+        failure.detail += "; " + std::to_string(m_parser->get().body().size());
+        if (const auto length = m_parser->content_length()) {
+            failure.detail += " of " + std::to_string(*length);
+        }
+        failure.detail += " bytes of the body were received";
+        return failure;
+    }
+
     [[nodiscard]] bool is_length_known() const {
         return m_parser->content_length().has_value();
     }
--- a/pollenreel/relay/client.cpp
+++ b/pollenreel/relay/client.cpp
@@ -1,8 +1,10 @@
 #include "pollenreel/relay/client.hpp"
 
+#include "pollenreel/http/error.hpp"
 #include "pollenreel/relay/codec.hpp"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace pollenreel::relay {
@@ -14,6 +16,17 @@
 // Leaves room for several values of the store's largest size, a megabyte.
 constexpr http::limits response_limits{8 * 1024, 8ULL * 1024 * 1024};
 
+base::result<store::key_change> fetched(const base::result<http::response>& r) {
+    if (!r) {
+        return r.error();
+    }
+    if (auto change = decode_fetched(r.value())) {
+        return std::move(*change);
+    }
+    return base::failure{http::make_error_code(http::error::malformed_message),
+                         "status " + std::to_string(r.value().status)};
+}
+
 } // namespace
 
 client::client(boost::asio::io_context& io, const base::clock& clock)
@@ -48,11 +61,10 @@
 void client::fetch(const base::endpoint& at, const std::string& key,
                    std::chrono::milliseconds timeout,
                    fetch_handler on_fetched) {
-    m_client.call(at, encode_fetch(key), timeout,
-                  [on_fetched = std::move(on_fetched)](
-                      const base::result<http::response>& r) {
-                      on_fetched(r ? decode_fetched(r.value()) : std::nullopt);
-                  });
+    m_client.call(
+        at, encode_fetch(key), timeout,
+        [on_fetched = std::move(on_fetched)](
+            const base::result<http::response>& r) { on_fetched(fetched(r)); });
 }
 
 std::string_view failure_reason(const std::optional<fleet::relay_response>& a,
--- a/pollenreel/relay/client.hpp
+++ b/pollenreel/relay/client.hpp
@@ -33,10 +33,11 @@
               std::chrono::milliseconds timeout, response_handler on_response);
     void cancel() { ++m_poll_number; }
 
-    // Fetches the last change of a key; nullopt if the relay does not send it.
-    // Independent of polls and of other fetches.
+    // Fetches the last change of a key. Fails as http::client does, and with
+    // malformed_message if the relay does not send it. Independent of polls and
+    // of other fetches.
     using fetch_handler =
-        std::function<void(const std::optional<store::key_change>&)>;
+        std::function<void(const base::result<store::key_change>&)>;
     void fetch(const base::endpoint& at, const std::string& key,
                std::chrono::milliseconds timeout, fetch_handler on_fetched);
 
--- a/pollenreel/relay/listener_test.cpp
+++ b/pollenreel/relay/listener_test.cpp
@@ -132,7 +132,7 @@
                 "c", {8}, store::entry{"c", std::string(20'000, 'v'), {8}, {}}};
         }
         relay::client client(f.io, f.clock);
-        std::optional<std::optional<store::key_change>> fetched;
+        std::optional<base::result<store::key_change>> fetched;
         client.fetch(f.at, "c", 5s, [&](const auto& c) { fetched = c; });
         while (!fetched) {
             REQUIRE(f.io.run_one() > 0);
@@ -140,8 +140,8 @@
         CHECK(f.last_key == "c");
         REQUIRE(fetched->has_value() == is_sent);
         if (is_sent) {
-            CHECK((*fetched)->at.value == 8);
-            CHECK((*fetched)->value->value.size() == 20'000);
+            CHECK(fetched->value().at.value == 8);
+            CHECK(fetched->value().value->value.size() == 20'000);
         }
     }
 }
--- a/pollenreel/store/messages.hpp
+++ b/pollenreel/store/messages.hpp
@@ -88,7 +88,10 @@
     std::optional<entry> current;
 };
 struct unreachable {}; // the request was not received and had no effect
-struct unanswered {};  // outcome unknown: a write may have taken effect
+// Outcome unknown: a write may have taken effect.
+struct unanswered {
+    std::string problem{}; // for the log
+};
 struct found_all {
     std::vector<entry> entries;
     revision at; // of the store when it replied
@@ -149,7 +152,9 @@
 };
 // The connection failed or the service canceled the watch. Ends the watch:
 // watch again from the revision after the last one seen.
-struct watch_closed {};
+struct watch_closed {
+    std::string problem{}; // for the log
+};
 using watch_report =
     std::variant<watch_opened, watch_changed, watch_compacted, watch_closed>;
 
