Show that large configurations come late over narrow links

The simulated region gives up a read of the store at the client's time-out, as the real one does, and counts the bytes that instances send each other.

--- a/pollenreel/fleet/simulated_region.hpp
+++ b/pollenreel/fleet/simulated_region.hpp
@@ -134,7 +134,10 @@
     double loss_rate = 0;       // of messages between instances, 0 to 1
     bool targets_report = true; // of targets
     int store_calls = 0;
-    int listings = 0;                        // of these
+    int listings = 0; // of these
+    // Of a call of the store.
+    std::chrono::milliseconds call_timeout{1000};
+    std::size_t relayed_bytes = 0; // values that instances sent each other
     std::chrono::milliseconds list_time{10}; // until a listing is answered
     // Responses to these instances come so much later.
     std::map<std::size_t, std::chrono::milliseconds> delays;
@@ -269,6 +272,7 @@
                                             std::size_t to, std::size_t bytes) {
         auto done = m_now;
         if (from) {
+            relayed_bytes += bytes;
             auto& sender = *m_members[*from];
             done = occupy(sender.sent_at, sender.self.link_mbps, bytes);
         }
@@ -349,13 +353,23 @@
             std::find_if(m_log.rbegin(), m_log.rend(), [&](const auto& change) {
                 return change.key == r.key;
             });
-        const store::found reply{last->value, {m_revision}};
-        const auto takes =
+        store::reply reply = store::found{last->value, {m_revision}};
+        auto takes =
             transfer_time(std::nullopt, i, encoded_size({*last}) * 4 / 3);
+        if (takes > call_timeout) {
+            stop_receiving(i, call_timeout);
+            takes = call_timeout;
+            reply = store::unanswered{};
+        }
         schedule(10ms + takes, [this, i, r, reply] {
             run(i, m_members[i]->follow.on_read_reply(r.key, reply, now_of(i)));
         });
     }
+    // What instance `i` is receiving ends after this time.
+    void stop_receiving(std::size_t i, std::chrono::milliseconds after) {
+        auto& until = m_members[i]->received_at;
+        until = std::min<base::time_point>(until, m_now + after);
+    }
     void begin(std::size_t i, const follower::fetch& f) {
         const auto to = index_of(f.endpoint);
         auto answered = std::make_shared<bool>(false);
@@ -375,6 +389,9 @@
                 m_members[to]->follow.make_fetch_response(f.key, now_of(to));
             const auto takes = c ? transfer_time(to, i, encoded_size({*c}))
                                  : std::chrono::milliseconds(0);
+            if (takes > f.timeout) {
+                stop_receiving(i, f.timeout);
+            }
             schedule(2ms + takes, [answer, c] { answer(c); });
         });
     }
@@ -416,7 +433,6 @@
     }
     // When a call on a silent connection times out.
     [[nodiscard]] bool is_timed_out(const node& n) const {
-        constexpr std::chrono::milliseconds call_timeout{1000};
         const auto wait =
             n.open_watch->request.max_report_interval.value_or(3000ms);
         return m_now >= n.reported_at + wait + call_timeout;
