Let a transfer go on while its bytes keep coming

Cause: a call's time-out covered the whole answer. A value of 740 KB and more over 10 Mbit/s that requests share takes longer than the 0.75 s of a fetch and the 1 s of a call of the store; what had arrived was thrown away and asked for anew from the first byte, over the same link, where it crowded out the calls that tell whether the store is there. No try could end.

The time-out now covers the wait for the header, and the body may take up to ten seconds (a fetch: four time-outs) unless it stalls for one time-out. A watch whose report is arriving is not taken for overdue. pollenreeld's calls of its store had the same time-out and read values of up to a megabyte.

--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -443,6 +443,9 @@
         m_out.flush();
         report_dropped_lines();
         m_changed = m_beliefs.remove_expired(now) || m_changed;
+        if (m_watch && m_watch->is_receiving()) {
+            m_follower.on_watch_progress(now);
+        }
         const auto due = m_follower.tick(now);
         if (m_store_reached && m_watch && !due.empty() &&
             std::holds_alternative<fleet::follower::watch>(due.front())) {
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -48,8 +48,8 @@
 // Time in which a relay's link must be able to send the large values of one
 // report. Followers beyond that read the store.
 constexpr int relay_send_percent = 15;
-// How long a follower waits for a value before it reads the store, which takes
-// the rest of the bound.
+// How long a follower waits for a value, or for more of it, before it reads the
+// store.
 constexpr int fetch_timeout_percent = 25;
 
 // A report that is overdue by this much is asked for anew. Open connections may
@@ -559,6 +559,12 @@
                                                             : std::nullopt;
 }
 
+void follower::on_watch_progress(base::time_point now) {
+    if (m_report_due_at) {
+        m_report_due_at = std::max(*m_report_due_at, now);
+    }
+}
+
 follower::actions follower::on_store_regained(base::time_point now) {
     m_is_rejected = false;
     if (m_listing || m_polling_relay || m_seen_revision.value == 0) {
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -70,6 +70,7 @@
     struct read {
         std::string key;
     };
+    // `timeout`: without any bytes.
     struct fetch {
         base::endpoint endpoint;
         std::string key;
@@ -105,6 +106,8 @@
     [[nodiscard]] actions on_read_reply(const std::string& key,
                                         const store::reply& r,
                                         base::time_point now);
+    // A response of the open watch is arriving.
+    void on_watch_progress(base::time_point now);
     // Another call to the store succeeded after calls had failed. Restarts the
     // watch, as one that was requested during the outage may get no response.
     [[nodiscard]] actions on_store_regained(base::time_point now);
--- a/pollenreel/fleet/simulated_region.hpp
+++ b/pollenreel/fleet/simulated_region.hpp
@@ -135,8 +135,10 @@
     bool targets_report = true; // of targets
     int store_calls = 0;
     int listings = 0; // of these
-    // Of a call of the store.
+    // Of a call of the store, and of a body that has stopped coming.
     std::chrono::milliseconds call_timeout{1000};
+    // A body that keeps coming is given up after so many of these.
+    static constexpr int max_timeouts = 4;
     std::size_t relayed_bytes = 0; // values that instances sent each other
     std::chrono::milliseconds list_time{10}; // until a listing is answered
     // Responses to these instances come so much later.
@@ -356,9 +358,9 @@
         store::reply reply = store::found{last->value, {m_revision}};
         auto takes =
             transfer_time(std::nullopt, i, encoded_size({*last}) * 4 / 3);
-        if (takes > call_timeout) {
-            stop_receiving(i, call_timeout);
-            takes = call_timeout;
+        if (takes > call_timeout * max_timeouts) {
+            stop_receiving(i, call_timeout * max_timeouts);
+            takes = call_timeout * max_timeouts;
             reply = store::unanswered{};
         }
         schedule(10ms + takes, [this, i, r, reply] {
@@ -379,9 +381,9 @@
                                                               now_of(i)));
             }
         };
-        schedule(f.timeout, [answer] { answer(std::nullopt); });
         if (m_random.unit() < loss_rate || dead.contains(to) ||
             silent.contains(to)) {
+            schedule(f.timeout, [answer] { answer(std::nullopt); });
             return;
         }
         schedule(2ms, [this, to, i, f, answer] {
@@ -389,8 +391,10 @@
                 m_members[to]->follow.make_fetch_response(f.key, now_of(to));
             const auto takes = c ? transfer_time(to, i, encoded_size({*c}))
                                  : std::chrono::milliseconds(0);
-            if (takes > f.timeout) {
-                stop_receiving(i, f.timeout);
+            const auto limit = f.timeout * max_timeouts;
+            if (takes > limit) {
+                stop_receiving(i, limit);
+                schedule(limit, [answer] { answer(std::nullopt); });
             }
             schedule(2ms + takes, [answer, c] { answer(c); });
         });
--- a/pollenreel/http/client.cpp
+++ b/pollenreel/http/client.cpp
@@ -28,13 +28,14 @@
 
 void client::call(const base::endpoint& to, request r,
                   std::chrono::milliseconds timeout,
-                  client_connection::answered done) {
+                  client_connection::answered done, answer_terms terms) {
     auto& idle = m_idle[to];
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
         if (connection->reusable()) {
-            return exchange(to, connection, r, timeout, std::move(done));
+            return exchange(to, connection, r, timeout, std::move(done),
+                            std::move(terms));
         }
     }
     auto connection = std::make_shared<client_connection>(*m_io);
@@ -43,7 +44,7 @@
     connection->connect(
         to, std::min(timeout, m_connect_timeout.value_or(timeout)),
         [this, to, connection, timeout, r = std::move(r),
-         done = std::move(done),
+         done = std::move(done), terms = std::move(terms),
          alive = std::weak_ptr(m_alive)](base::result<void> up) {
             if (alive.expired()) {
                 return;
@@ -51,28 +52,30 @@
             if (!up) {
                 return done(up.error());
             }
-            exchange(to, connection, r, timeout, done);
+            exchange(to, connection, r, timeout, done, terms);
         });
 }
 
 void client::exchange(const base::endpoint& to, const connection_ptr& on,
                       const request& r, std::chrono::milliseconds timeout,
-                      client_connection::answered done) {
-    on->exchange(r, m_limits, timeout,
-                 [this, to, on, done = std::move(done),
-                  alive = std::weak_ptr(m_alive)](base::result<response> a) {
-                     if (alive.expired()) {
-                         return;
-                     }
-                     if (a && on->reusable()) {
-                         m_idle[to].push_back(on);
-                     } else if (is_time_out(a)) {
-                         // What silenced this connection may have silenced
-                         // those that are as old: each would cost a time-out.
-                         m_idle[to].clear();
-                     }
-                     done(std::move(a));
-                 });
+                      client_connection::answered done, answer_terms terms) {
+    on->exchange(
+        r, m_limits, timeout,
+        [this, to, on, done = std::move(done),
+         alive = std::weak_ptr(m_alive)](base::result<response> a) {
+            if (alive.expired()) {
+                return;
+            }
+            if (a && on->reusable()) {
+                m_idle[to].push_back(on);
+            } else if (is_time_out(a)) {
+                // What silenced this connection may have silenced
+                // those that are as old: each would cost a time-out.
+                m_idle[to].clear();
+            }
+            done(std::move(a));
+        },
+        std::move(terms));
 }
 
 base::result<response> call_and_wait(const base::endpoint& to, const request& r,
--- a/pollenreel/http/client.hpp
+++ b/pollenreel/http/client.hpp
@@ -35,14 +35,14 @@
     // the request was not received.
     void call(const base::endpoint& to, request r,
               std::chrono::milliseconds timeout,
-              client_connection::answered done);
+              client_connection::answered done, answer_terms terms = {});
 
 private:
     using connection_ptr = std::shared_ptr<client_connection>;
 
     void exchange(const base::endpoint& to, const connection_ptr& on,
                   const request& r, std::chrono::milliseconds timeout,
-                  client_connection::answered done);
+                  client_connection::answered done, answer_terms terms);
 
     boost::asio::io_context* m_io;
     limits m_limits;
--- a/pollenreel/http/client_connection.cpp
+++ b/pollenreel/http/client_connection.cpp
@@ -316,16 +316,35 @@
         // The parser would add the fields of trailers.
         m_answer = to_response(m_parser->get());
         if (!m_parser->is_done()) {
-            return read_body();
+            if (m_terms.body_time) {
+                m_body_deadline =
+                    std::chrono::steady_clock::now() + m_terms.body_time->total;
+            }
+            return continue_body();
         }
         on_answer();
     }
 
+    void continue_body() {
+        // The callback may close the connection.
+        if (const auto on_progress = m_terms.on_progress) {
+            on_progress();
+        }
+        if (!m_closed) {
+            read_body();
+        }
+    }
+
     void read_body() {
         if (!is_length_known() &&
             !m_memory->make_room(m_parser->get().body(), m_buffer.max_size())) {
             return finish(no_memory());
         }
+        if (m_terms.body_time) {
+            m_stream.expires_at(
+                std::min(m_body_deadline, std::chrono::steady_clock::now() +
+                                              m_terms.body_time->stalled));
+        }
         bhttp::async_read_some(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](beast::error_code e, std::size_t) {
@@ -344,7 +363,7 @@
             return finish(no_memory());
         }
         if (!m_parser->is_done()) {
-            return read_body();
+            return continue_body();
         }
         if (m_parser->need_eof() &&
             !internal::is_closed_in_order(m_stream.socket().native_handle())) {
@@ -422,6 +441,7 @@
     answered m_answered;
     answer_terms m_terms;
     limits m_limits;
+    std::chrono::steady_clock::time_point m_body_deadline;
     std::optional<internal::body_memory> m_memory; // of this exchange
     int m_strays = 0;       // answers to other requests, in this exchange
     int m_interims = 0;     // interim responses, in this exchange
--- a/pollenreel/http/client_connection.hpp
+++ b/pollenreel/http/client_connection.hpp
@@ -18,6 +18,12 @@
 
 namespace pollenreel::http {
 
+// Bounds the time that a body takes to arrive, beside its answer's time-out.
+struct body_time_limits {
+    std::chrono::milliseconds stalled{}; // without any byte of it
+    std::chrono::milliseconds total{};
+};
+
 // Which answers an exchange takes.
 struct answer_terms {
     // Takes a body that ends with the connection, if the server closed it in
@@ -31,6 +37,12 @@
     // The owner calls is_stalled() a few times a second during the exchange;
     // the kernel then probes the path only while all bytes are acknowledged.
     bool owner_checks_path = false;
+    // If set, the time-out of the exchange ends with the answer's header: a
+    // body that keeps coming is not thrown away to be asked for again.
+    std::optional<body_time_limits> body_time{};
+    // Called after the header and for each part of a body but the last. May be
+    // empty.
+    std::function<void()> on_progress{};
 };
 
 // Of a request whose answer is owed; zero if none is.
--- a/pollenreel/http/response_test.cpp
+++ b/pollenreel/http/response_test.cpp
@@ -3,6 +3,7 @@
 #include "pollenreel/base/random.hpp"
 #include "pollenreel/http/client_connection.hpp"
 #include "pollenreel/http/client_stream.hpp"
+#include "pollenreel/http/error.hpp"
 #include "testing/held_server.hpp"
 #include "testing/raw_server.hpp"
 #include "testing/response_forms.hpp"
@@ -200,6 +201,34 @@
     }
 }
 
+// What drips for ever would hold its exchange for ever.
+TEST_CASE("a body that keeps coming is given up after its total time") {
+    const raw_server server([](const std::string&) {
+        raw_reply reply{"HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"};
+        reply.parts.assign(30, "x");
+        reply.part_gap = 50ms;
+        return reply;
+    });
+    boost::asio::io_context io;
+    http::client_connection c(io);
+    std::optional<base::result<http::response>> got;
+    int parts = 0;
+    c.connect(server.at(), 1s, [&](const base::result<void>& up) {
+        REQUIRE(up.has_value());
+        http::answer_terms terms;
+        terms.body_time = {no_time_out, 400ms};
+        terms.on_progress = [&] { ++parts; };
+        c.exchange(
+            {}, {}, no_time_out,
+            [&](base::result<http::response> a) { got = std::move(a); }, terms);
+    });
+    io.run();
+    REQUIRE(got.has_value());
+    REQUIRE_FALSE(got->has_value());
+    CHECK(got->error().code == http::make_error_code(http::error::timed_out));
+    CHECK(parts > 0);
+}
+
 TEST_CASE("a stream delivers nothing of what has no response's head") {
     for (const auto& f : testing::response_forms()) {
         CAPTURE(f.name);
--- a/pollenreel/relay/client.cpp
+++ b/pollenreel/relay/client.cpp
@@ -16,6 +16,9 @@
 // Leaves room for several values of the store's largest size, a megabyte.
 constexpr http::limits response_limits{8 * 1024, 8ULL * 1024 * 1024};
 
+// A fetch whose bytes keep coming ends after so many times its time-out.
+constexpr int max_fetch_timeouts = 4;
+
 base::result<store::key_change> fetched(const base::result<http::response>& r) {
     if (!r) {
         return r.error();
@@ -61,10 +64,13 @@
 void client::fetch(const base::endpoint& at, const std::string& key,
                    std::chrono::milliseconds timeout,
                    fetch_handler on_fetched) {
+    http::answer_terms terms;
+    terms.body_time = {timeout, max_fetch_timeouts * timeout};
     m_client.call(
         at, encode_fetch(key), timeout,
         [on_fetched = std::move(on_fetched)](
-            const base::result<http::response>& r) { on_fetched(fetched(r)); });
+            const base::result<http::response>& r) { on_fetched(fetched(r)); },
+        std::move(terms));
 }
 
 std::string_view failure_reason(const std::optional<fleet::relay_response>& a,
--- a/pollenreel/relay/client.hpp
+++ b/pollenreel/relay/client.hpp
@@ -35,7 +35,8 @@
 
     // Fetches the last change of a key. Fails as http::client does, and with
     // malformed_message if the relay does not send it. Independent of polls and
-    // of other fetches.
+    // of other fetches. `timeout`: until the first bytes, and without any
+    // further ones.
     using fetch_handler =
         std::function<void(const base::result<store::key_change>&)>;
     void fetch(const base::endpoint& at, const std::string& key,
--- a/pollenreel/store/client.hpp
+++ b/pollenreel/store/client.hpp
@@ -16,6 +16,9 @@
     open_watch(const open_watch&) = delete;
     open_watch& operator=(const open_watch&) = delete;
     virtual ~open_watch() = default;
+    // Whether a part of the next report has arrived, and none of the rest for
+    // less than the time-out of a call.
+    [[nodiscard]] virtual bool is_receiving() const { return false; }
 };
 
 // Runs on one io_context's one thread.
--- a/pollenreel/store/etcd_client.cpp
+++ b/pollenreel/store/etcd_client.cpp
@@ -4,6 +4,7 @@
 #include "pollenreel/http/error.hpp"
 #include "pollenreel/store/etcd_codec.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace pollenreel::store {
@@ -12,6 +13,8 @@
 
 // A value may have a megabyte; base64 and JSON add more than a third.
 constexpr http::limits response_limits{16 * 1024, 4ULL * 1024 * 1024};
+// For such a value on a link that other traffic fills.
+constexpr std::chrono::milliseconds max_body_time{10'000};
 constexpr unsigned http_ok = 200;
 // A line of a watch may contain several changes of a megabyte each.
 constexpr std::size_t max_line_bytes = 8ULL * 1024 * 1024;
@@ -126,15 +129,18 @@
 }
 
 void etcd_client::call(const request& r, reply_handler on_reply) {
-    m_client.call(m_endpoints[m_endpoint_index], to_post(etcd::encode(r)),
-                  m_timeout,
-                  [this, r, on_reply = std::move(on_reply)](
-                      const base::result<http::response>& a) {
-                      if (!a) {
-                          use_next_endpoint();
-                      }
-                      on_reply(to_reply(r, a));
-                  });
+    http::answer_terms terms;
+    terms.body_time = {m_timeout, std::max(m_timeout, max_body_time)};
+    m_client.call(
+        m_endpoints[m_endpoint_index], to_post(etcd::encode(r)), m_timeout,
+        [this, r, on_reply = std::move(on_reply)](
+            const base::result<http::response>& a) {
+            if (!a) {
+                use_next_endpoint();
+            }
+            on_reply(to_reply(r, a));
+        },
+        std::move(terms));
 }
 
 std::unique_ptr<open_watch> etcd_client::open(const watch& w,
--- a/testing/raw_server.cpp
+++ b/testing/raw_server.cpp
@@ -114,6 +114,10 @@
         skip_body(s, unread, body_size(head), e);
     }
     asio::write(s, asio::buffer(reply.bytes), e);
+    for (const auto& part : reply.parts) {
+        std::this_thread::sleep_for(reply.part_gap);
+        asio::write(s, asio::buffer(part), e);
+    }
     std::this_thread::sleep_for(reply.pause);
     switch (reply.then) {
     case after_reply::keeps:
--- a/testing/raw_server.hpp
+++ b/testing/raw_server.hpp
@@ -18,6 +18,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace pollenreel::testing {
 
@@ -36,6 +37,9 @@
     bool is_early = false;
     // Between the bytes and what follows.
     std::chrono::milliseconds pause{0};
+    // Sent after the bytes, each of them `part_gap` after the one before.
+    std::vector<std::string> parts{};
+    std::chrono::milliseconds part_gap{0};
 };
 
 // Each connection has a thread of its own, which calls the script.
