Let a relay that is yet to read a value tell of all others

What callers saw: departures, evacuations and small changes came late beside a large configuration, and with them the store got the calls of whole regions.

Cause: an instance with a reference whose value had not arrived answered polls as if it were not watching. Its followers left it and asked the next relay, which received the same value at the same time, and then the store.

It now answers with all other changes, and with a reference to that value from the revision at which it changed. Followers fetch it from the next relay if it has not arrived by then. Nothing more is confirmed: a confirmation still waits for the value. Callers of the former release that take no references get the old answer.

Test: relay_test "a relay that is yet to read a value tells of all other changes" fails without the change (not_watching, no changes).

--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -597,7 +597,7 @@
         m_state.is_in_outage(now)) {
         return {relay_status::store_lost, {}, {}, {}};
     }
-    if (!m_unread.empty()) {
+    if (!m_unread.empty() && !r.accepts_references) {
         return {};
     }
     // Later pages of a listing may contain changes after m_seen_revision. They
@@ -620,7 +620,15 @@
     }
     response.restoring_for = m_state.restoring_for(now);
     for (auto& c : *missed) {
-        add_change(response, r, std::move(c));
+        if (!m_unread.contains(c.key)) {
+            add_change(response, r, std::move(c));
+        }
+    }
+    // The receiver finds the value elsewhere, if not here by then.
+    for (const auto& [key, unread] : m_unread) {
+        if (unread.at > r.known_revision) {
+            response.references.push_back({key, unread.at});
+        }
     }
     return response;
 }
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -518,6 +518,53 @@
     }
 }
 
+// A relay that had not read a large value yet said that it was not watching:
+// its followers left it, and turned to the store.
+TEST_CASE("a relay that is yet to read a value tells of all other changes") {
+    struct row {
+        const char* name;
+        bool accepts_references;
+        std::int64_t known;
+        relay_status status;
+        std::size_t references;
+    };
+    const row rows[] = {
+        {"a follower that misses the value", true, 31, relay_status::current,
+         1},
+        {"a follower that knows of it", true, 35, relay_status::current, 0},
+        {"a follower without references", false, 31, relay_status::not_watching,
+         0},
+    };
+    for (const auto& r : rows) {
+        CAPTURE(r.name);
+        fleet_state known({}, {});
+        follower f({"", make_instance("i-0", "a"), departure_bound}, decode,
+                   known, [](const change&, effect, store::revision) {});
+        CHECK(f.start(start_time).size() == 1);
+        CHECK(f.on_list_reply(two_watchers({{"c", "", {30}, {}}}), start_time)
+                  .size() == 1);
+        CHECK(f.on_relay_response(relay_response{relay_status::current,
+                                                 {40},
+                                                 0ms,
+                                                 {written("t/a", 40)},
+                                                 {{"c", {35}}}},
+                                  start_time)
+                  .size() == 2);
+        // Both relays fail, so that it watches the store.
+        CHECK(f.on_relay_response(std::nullopt, start_time).size() == 1);
+        CHECK(f.on_relay_response(std::nullopt, start_time).size() == 1);
+        const auto told = f.make_relay_response(
+            {{r.known}, 0ms, r.accepts_references, r.accepts_references}, true,
+            start_time);
+        CHECK(told.status == r.status);
+        CHECK(told.references.size() == r.references);
+        if (r.status == relay_status::current) {
+            CHECK(revisions(told.changes) == std::vector<std::int64_t>{40});
+            CHECK_FALSE(told.confirmed_after.has_value());
+        }
+    }
+}
+
 TEST_CASE("a follower applies deltas, and fetches what it cannot apply") {
     configuration_text c(1);
     c.add_routes(200);
