--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -5,6 +5,7 @@
 #include "pollenreel/entry/change_log.hpp"
 #include "pollenreel/entry/exchange_driver.hpp"
 #include "pollenreel/entry/quota_ledger.hpp"
+#include "pollenreel/entry/value_log.hpp"
 #include "pollenreel/fleet/announcer.hpp"
 #include "pollenreel/relay/client.hpp"
 #include "pollenreel/relay/listener.hpp"
@@ -14,7 +15,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
-#include <map>
 #include <string>
 #include <utility>
 
@@ -88,9 +88,12 @@
           m_log(std::move(log)), m_out(out), m_tick(io),
           m_signals(io, SIGTERM, SIGINT, SIGHUP),
           m_beliefs(m_settings.regions, belief_options_of(m_settings)),
+          m_values(m_log, clock, counts),
           m_follower(
               follower_options_of(m_settings, m_options.layout),
-              [this](const store::key_change& c) { return decode(c); },
+              [this](const store::key_change& c) {
+                  return m_values.decode(m_options.layout.decode, c);
+              },
               m_beliefs,
               [this](const fleet::change& c, fleet::effect e,
                      store::revision at) { on_change(c, e, at); }),
@@ -156,81 +159,29 @@
     void run(const fleet::follower::read& r) {
         call(store::read{r.key}, [this, key = r.key, asked_at = m_clock.now()](
                                      const store::reply& a) {
-            const auto* found = std::get_if<store::found>(&a);
-            const auto* silent = std::get_if<store::unanswered>(&a);
-            const bool has_value = found != nullptr && found->value;
-            note_transfer({"store", key, asked_at,
-                           has_value ? found->value->value.size() : 0,
-                           found != nullptr    ? ""
-                           : silent != nullptr ? silent->problem
-                                               : "refused"});
+            m_values.on_read({key, asked_at}, a);
             run(m_follower.on_read_reply(key, a, m_clock.now()));
         });
     }
 
     void run(const fleet::follower::fetch& f) {
         m_asker.fetch(f.endpoint, f.request, f.timeout,
-                      [this, key = f.request.key, from = f.endpoint.str(),
+                      [this, key = f.request.key, from = f.endpoint,
                        asked_at = m_clock.now()](
                           const base::result<fleet::relayed_value>& v) {
-                          note_transfer({from, key, asked_at,
-                                         v ? fleet::size_of(v.value()) : 0,
-                                         v ? "" : v.error().text()});
+                          m_values.on_fetched({key, asked_at}, from, v);
                           run(m_follower.on_fetch_response(
                               key, v ? std::optional(v.value()) : std::nullopt,
                               m_clock.now()));
                       });
     }
 
-    // A large value that travels apart from other changes.
-    struct transfer {
-        std::string from;
-        std::string key;
-        base::time_point asked_at;
-        std::size_t bytes;
-        std::string problem; // empty: none
-    };
-
-    void note_transfer(const transfer& t) {
-        ++m_counts.value_transfers;
-        m_counts.value_transfer_failures += t.problem.empty() ? 0 : 1;
-        m_counts.value_bytes += t.bytes;
-        m_log.info("value_transferred", {{"key", t.key},
-                                         {"from", t.from},
-                                         {"bytes", t.bytes},
-                                         {"took_ms", since(t.asked_at)},
-                                         {"problem", t.problem}});
-    }
-
-    void note_references(const fleet::relay_response& r) {
-        for (const auto& reference : r.references) {
-            m_referenced_at.try_emplace(reference.key, m_clock.now());
-            m_log.info("value_referenced",
-                       {{"key", reference.key},
-                        {"revision", reference.at.value},
-                        {"relay", m_follower.relay().watcher.str()},
-                        {"previous_contact_age_ms",
-                         since(m_beliefs.last_contact_at())}});
-        }
-    }
-
-    fleet::change decode(const store::key_change& c) {
-        const auto began = m_clock.now();
-        auto decoded = m_options.layout.decode(c);
-        m_decode_time =
-            std::chrono::duration_cast<milliseconds>(m_clock.now() - began);
-        const auto referenced = m_referenced_at.extract(c.key);
-        m_transfer_time = referenced ? std::chrono::duration_cast<milliseconds>(
-                                           began - referenced.mapped())
-                                     : milliseconds::zero();
-        return decoded;
-    }
-
     void on_relayed(const std::optional<fleet::relay_response>& answer) {
+        const auto polled = m_follower.relay();
         if (answer) {
-            note_references(*answer);
+            m_values.on_references(answer->references, polled.watcher,
+                                   m_beliefs.last_contact_at());
         }
-        const auto polled = m_follower.relay();
         const auto max_age = m_follower.max_contact_age();
         const auto actions =
             m_follower.on_relay_response(answer, m_clock.now());
@@ -372,7 +323,7 @@
                    {m_follower.source(),
                     std::chrono::duration_cast<milliseconds>(
                         m_clock.now() - m_published_contact),
-                    at, m_decode_time, m_transfer_time});
+                    at, m_values.decode_time(), m_values.transfer_time()});
         const auto* gone = std::get_if<fleet::instance_removed>(&c);
         if (gone != nullptr && gone->id == m_settings.id) {
             m_announcer.on_key_removed(m_clock.now());
@@ -551,6 +502,7 @@
     base::time_point m_tick_due = m_clock.now();
     boost::asio::signal_set m_signals;
     fleet::fleet_state m_beliefs;
+    value_log m_values;
     fleet::follower m_follower;
     relay::client m_asker;
     std::optional<relay::listener> m_relay_listener;
@@ -564,11 +516,6 @@
     base::time_point m_published_contact{};
     base::boot_time m_published_confirmation{};
     base::time_point m_polled_at{}; // the relay
-    // Keys whose new value is still to be transferred.
-    std::map<std::string, base::time_point> m_referenced_at;
-    // Of the change that was decoded last.
-    milliseconds m_decode_time{};
-    milliseconds m_transfer_time{};
     bool m_store_reached = true;
     bool m_keys_fresh = m_settings.limits.revocation_bound.count() == 0;
     std::optional<base::time_point> m_stop_at;
