Keep large values of a store that went back

Found by reading; test: large_values_test "a value with a smaller revision replaces the known one". Large values are no longer copied for each response.

--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -345,8 +345,9 @@
 }
 
 void follower::add_to_journal(const store::key_change& c) {
+    const auto* large = m_values.find(c.key);
     m_journal.add(
-        is_large(c)
+        large != nullptr && large->modified == c.at
             ? store::key_change{c.key, c.at, store::entry{c.key, "", c.at, {}}}
             : c);
 }
@@ -513,10 +514,11 @@
     if (relay.watcher.empty()) {
         return {read{key}};
     }
-    const auto known = m_values.find(key);
-    return {fetch{relay.endpoint,
-                  {key, true, known ? known->modified : store::revision{}},
-                  percent_of_bound(fetch_timeout_percent)}};
+    const auto* known = m_values.find(key);
+    return {fetch{
+        relay.endpoint,
+        {key, true, known != nullptr ? known->modified : store::revision{}},
+        percent_of_bound(fetch_timeout_percent)}};
 }
 
 follower::actions follower::request_unread(base::time_point now) {
@@ -600,8 +602,9 @@
     if (!m_unread.empty() && !r.accepts_references) {
         return {};
     }
-    // Later pages of a listing may contain changes after m_seen_revision. They
-    // are held back until all changes before them are known.
+    // Later pages of a listing may contain changes after
+    // m_seen_revision. They are held back until all changes before
+    // them are known.
     auto missed = m_journal.changes_between(r.known_revision, m_seen_revision);
     if (!missed) {
         return {relay_status::behind, m_seen_revision, {}, {}, {}};
@@ -610,8 +613,8 @@
         now - m_state.last_contact_at());
     relay_response response{
         relay_status::current, m_seen_revision, age, {}, {}};
-    // The origin of the clock is no time at which anything was confirmed, and
-    // differs between machines.
+    // The origin of the clock is no time at which anything was
+    // confirmed, and differs between machines.
     if (m_options.confirms_configuration &&
         m_state.configuration_confirmed_at() != base::boot_time{}) {
         // Rounds down: what is confirmed later is not claimed.
@@ -635,14 +638,13 @@
 
 void follower::add_change(relay_response& to, const relay_request& r,
                           store::key_change c) {
-    auto large = m_values.find(c.key);
-    if (!large || large->modified != c.at) {
+    const auto* large = m_values.find(c.key);
+    if (large == nullptr || large->modified != c.at) {
         to.changes.push_back(std::move(c));
         return;
     }
     if (!r.accepts_references) {
-        c.value = std::move(large);
-        to.changes.push_back(std::move(c));
+        to.changes.push_back({c.key, c.at, *large});
         return;
     }
     const auto held =
@@ -665,11 +667,10 @@
         return std::nullopt;
     }
     relayed_value value = *last;
-    if (auto large = m_values.find(r.key);
-        large && large->modified == last->at) {
-        value = r.accepts_delta
-                    ? relayed_value(*m_values.delta(r.key, r.held))
-                    : store::key_change{r.key, last->at, std::move(large)};
+    const auto* large = m_values.find(r.key);
+    if (large != nullptr && large->modified == last->at) {
+        value = r.accepts_delta ? relayed_value(*m_values.delta(r.key, r.held))
+                                : store::key_change{r.key, last->at, *large};
     }
     return m_relay_budget.try_spend(size_of(value), now)
                ? std::optional(std::move(value))
@@ -707,14 +708,15 @@
     }
     if (m_report_due_at && now >= *m_report_due_at + max_report_delay &&
         !m_listing) {
-        // Until the next report there is only this one attempt, so that a slow
-        // store is not asked again and again.
+        // Until the next report there is only this one attempt, so
+        // that a slow store is not asked again and again.
         m_state.on_contact_lost();
         due = watch_store(now);
     }
     if (m_read_retry_at && now >= *m_read_retry_at) {
         m_read_retry_at.reset();
-        // This instance may be cut off from the store, but not from a relay.
+        // This instance may be cut off from the store, but not from
+        // a relay.
         const auto requests = request_unread(now);
         due.insert(due.end(), requests.begin(), requests.end());
     }
--- a/pollenreel/fleet/large_values.cpp
+++ b/pollenreel/fleet/large_values.cpp
@@ -39,7 +39,7 @@
 void large_values::put(const store::key_change& c, bool keep_steps,
                        const value_delta* received) {
     const auto known = m_values.find(c.key);
-    if (known != m_values.end() && known->second.entry.modified >= c.at) {
+    if (known != m_values.end() && known->second.entry.modified == c.at) {
         return;
     }
     if (!is_large(c)) {
@@ -48,7 +48,8 @@
     }
     auto& v = m_values[c.key];
     const auto before = v.entry.modified;
-    if (!keep_steps || before == store::revision{}) {
+    // Revisions go back if the store is restored from a copy.
+    if (!keep_steps || before == store::revision{} || before > c.at) {
         v.steps.clear();
         v.step_bytes = 0;
     } else if (received != nullptr && received->steps.front().base == before) {
@@ -72,10 +73,9 @@
     }
 }
 
-std::optional<store::entry> large_values::find(const std::string& key) const {
+const store::entry* large_values::find(const std::string& key) const {
     const auto found = m_values.find(key);
-    return found == m_values.end() ? std::nullopt
-                                   : std::optional(found->second.entry);
+    return found == m_values.end() ? nullptr : &found->second.entry;
 }
 
 std::vector<key_reference> large_values::held() const {
--- a/pollenreel/fleet/large_values.hpp
+++ b/pollenreel/fleet/large_values.hpp
@@ -37,9 +37,8 @@
     // value was made from; null if it came whole.
     void put(const store::key_change& c, bool keep_steps,
              const value_delta* received = nullptr);
-    // Returns nullopt unless the key has a large value.
-    [[nodiscard]] std::optional<store::entry>
-    find(const std::string& key) const;
+    // Returns null unless the key has a large value; valid until the next put.
+    [[nodiscard]] const store::entry* find(const std::string& key) const;
     // Of all keys with a large value.
     [[nodiscard]] std::vector<key_reference> held() const;
 
--- a/pollenreel/fleet/large_values_test.cpp
+++ b/pollenreel/fleet/large_values_test.cpp
@@ -121,6 +121,21 @@
     CHECK(d->steps.back().bytes == relay.delta("c", {2})->steps[0].bytes);
 }
 
+// A store that was restored from a copy gives revisions out again.
+TEST_CASE("a value with a smaller revision replaces the known one") {
+    const auto texts = make_revisions(4);
+    large_values relay;
+    for (int i = 1; i <= 3; ++i) {
+        relay.put(written("c", i, texts[static_cast<std::size_t>(i)]), true);
+    }
+    relay.put(written("c", 2, texts[4]), true);
+    REQUIRE(relay.find("c") != nullptr);
+    CHECK(relay.find("c")->value == texts[4]);
+    const auto whole = relay.delta("c", {1});
+    REQUIRE(whole.has_value());
+    CHECK(large_values().apply(*whole)->value->value == texts[4]);
+}
+
 TEST_CASE("small and removed values are not held") {
     const auto texts = make_revisions(1);
     for (const auto& next : {written("c", 2, "small"), removed("c", 2)}) {
@@ -129,7 +144,7 @@
         CHECK(v.held().size() == 1);
         v.put(next, true);
         CHECK(v.held().empty());
-        CHECK_FALSE(v.find("c").has_value());
+        CHECK(v.find("c") == nullptr);
         CHECK_FALSE(v.delta("c", {1}).has_value());
     }
 }
