Send no value that the follower holds already

A fetch may bring a newer version than the one that was referenced. The relay then told of that version as news, and the follower fetched the whole value again; until it had it, its keys were unconfirmed.

Found by reading the change; relay_test "one transfer of a value is under way at a time" and "a value that the follower holds is not sent again" fail without it.

--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -495,6 +495,11 @@
 }
 
 void follower::add_unread(const std::string& key, store::revision at) {
+    // A fetch may have brought a newer value than was referenced.
+    const auto known = m_existing_keys.find(key);
+    if (known != m_existing_keys.end() && known->second >= at) {
+        return;
+    }
     auto& unread = m_unread[key];
     unread.at = std::max(unread.at, at);
 }
@@ -602,9 +607,8 @@
     if (!m_unread.empty() && !r.accepts_references) {
         return {};
     }
-    // Later pages of a listing may contain changes after
-    // m_seen_revision. They are held back until all changes before
-    // them are known.
+    // Later pages of a listing may contain changes after m_seen_revision. They
+    // are held back until all changes before them are known.
     auto missed = m_journal.changes_between(r.known_revision, m_seen_revision);
     if (!missed) {
         return {relay_status::behind, m_seen_revision, {}, {}, {}};
@@ -613,8 +617,8 @@
         now - m_state.last_contact_at());
     relay_response response{
         relay_status::current, m_seen_revision, age, {}, {}};
-    // The origin of the clock is no time at which anything was
-    // confirmed, and differs between machines.
+    // The origin of the clock is no time at which anything was confirmed, and
+    // differs between machines.
     if (m_options.confirms_configuration &&
         m_state.configuration_confirmed_at() != base::boot_time{}) {
         // Rounds down: what is confirmed later is not claimed.
@@ -650,6 +654,9 @@
     const auto held =
         std::find_if(r.held.begin(), r.held.end(),
                      [&](const auto& one) { return one.key == c.key; });
+    if (held != r.held.end() && held->at == c.at) {
+        return;
+    }
     auto delta = r.accepts_deltas && held != r.held.end()
                      ? m_values.delta(c.key, held->at)
                      : std::nullopt;
@@ -708,15 +715,14 @@
     }
     if (m_report_due_at && now >= *m_report_due_at + max_report_delay &&
         !m_listing) {
-        // Until the next report there is only this one attempt, so
-        // that a slow store is not asked again and again.
+        // Until the next report there is only this one attempt, so that a slow
+        // store is not asked again and again.
         m_state.on_contact_lost();
         due = watch_store(now);
     }
     if (m_read_retry_at && now >= *m_read_retry_at) {
         m_read_retry_at.reset();
-        // This instance may be cut off from the store, but not from
-        // a relay.
+        // This instance may be cut off from the store, but not from a relay.
         const auto requests = request_unread(now);
         due.insert(due.end(), requests.begin(), requests.end());
     }
--- a/pollenreel/fleet/relay_test.cpp
+++ b/pollenreel/fleet/relay_test.cpp
@@ -647,8 +647,32 @@
     CHECK(std::get<follower::fetch>(next[0]).request.held.value == 35);
     CHECK(version() == 35);
     CHECK(
-        f.on_fetch_response("c", written("c", 37, large), start_time).empty());
-    CHECK(version() == 37);
+        f.on_fetch_response("c", written("c", 39, large), start_time).empty());
+    CHECK(version() == 39);
+    // It is referenced after it was received.
+    CHECK(refer(39).size() == 1);
+}
+
+TEST_CASE("a value that the follower holds is not sent again") {
+    fleet_state known({}, {});
+    follower f({"", make_instance("i-1", "b"), departure_bound}, decode, known,
+               [](const change&, effect, store::revision) {});
+    CHECK(f.start(start_time).size() == 1);
+    CHECK(f.on_list_reply(store::found_all{{}, {31}}, start_time).size() == 1);
+    const auto large = written("c", 33, std::string(20'000, 'c'));
+    CHECK(f.on_watch_report(store::watch_changed{{large}}, start_time).empty());
+    struct row {
+        std::int64_t held;
+        std::size_t sent;
+    };
+    for (const row r : {row{32, 1}, row{33, 0}}) {
+        CAPTURE(r.held);
+        const auto told = f.make_relay_response(
+            {{31}, 0ms, true, true, {{"c", {r.held}}}}, true, start_time);
+        CHECK(told.seen_revision.value == 33);
+        CHECK(told.references.size() + told.deltas.size() == r.sent);
+        CHECK(told.changes.empty());
+    }
 }
 
 TEST_CASE("a relay sends large values by reference, within its bandwidth") {
