--- a/pollenreel/entry/control.cpp
+++ b/pollenreel/entry/control.cpp
@@ -169,19 +169,17 @@
     }
 
     void run(const fleet::follower::fetch& f) {
-        m_asker.fetch(
-            f.endpoint, f.key, f.timeout,
-            [this, key = f.key, from = f.endpoint.str(),
-             asked_at =
-                 m_clock.now()](const base::result<store::key_change>& c) {
-                const bool has_value = c && c.value().value;
-                note_transfer({from, key, asked_at,
-                               has_value ? c.value().value->value.size() : 0,
-                               c ? "" : c.error().text()});
-                run(m_follower.on_fetch_response(
-                    key, c ? std::optional(c.value()) : std::nullopt,
-                    m_clock.now()));
-            });
+        m_asker.fetch(f.endpoint, f.request, f.timeout,
+                      [this, key = f.request.key, from = f.endpoint.str(),
+                       asked_at = m_clock.now()](
+                          const base::result<fleet::relayed_value>& v) {
+                          note_transfer({from, key, asked_at,
+                                         v ? fleet::size_of(v.value()) : 0,
+                                         v ? "" : v.error().text()});
+                          run(m_follower.on_fetch_response(
+                              key, v ? std::optional(v.value()) : std::nullopt,
+                              m_clock.now()));
+                      });
     }
 
     // A large value that travels apart from other changes.
@@ -262,8 +260,8 @@
                 return m_follower.make_relay_response(poll, m_store_reached,
                                                       m_clock.now());
             },
-            [this](const std::string& key) {
-                return m_follower.make_fetch_response(key, m_clock.now());
+            [this](const fleet::value_request& r) {
+                return m_follower.make_fetch_response(r, m_clock.now());
             });
         m_exchange.use_listener(*m_relay_listener);
         m_relay_listener->serve_checks([this](const auto& target, auto done) {
--- a/pollenreel/fleet/configuration_text.hpp
+++ b/pollenreel/fleet/configuration_text.hpp
@@ -28,7 +28,8 @@
     void change_route() {
         const auto from = m_random.below(m_routes.size());
         const auto digits = m_routes.find("00ms", m_routes.rfind('{', from));
-        m_routes[digits - 1] = static_cast<char>('1' + m_random.below(9));
+        auto& digit = m_routes[digits - 1];
+        digit = digit == '9' ? '1' : static_cast<char>(digit + 1);
     }
     [[nodiscard]] std::string text() const {
         return R"({"version":"r1","hosts":[{"host":"a.example","paths":[)" +
--- a/pollenreel/fleet/follower.cpp
+++ b/pollenreel/fleet/follower.cpp
@@ -43,14 +43,14 @@
 constexpr int repoll_percent = 5;
 // Part of a poll's time-out that is left for the response to arrive.
 constexpr int relay_response_percent = 10;
-// Larger values are sent apart from the other changes, which they would delay.
-constexpr std::size_t max_inline_bytes = 8192;
 // Time in which a relay's link must be able to send the large values of one
 // report. Followers beyond that read the store.
 constexpr int relay_send_percent = 15;
-// How long a follower waits for a value, or for more of it, before it reads the
-// store.
+// How long a follower waits for a value, or for more of it, before it turns to
+// the next relay.
 constexpr int fetch_timeout_percent = 25;
+// A poll has room for so many. Only the configuration is known to be large.
+constexpr std::size_t max_held = 8;
 
 // A report that is overdue by this much is asked for anew. Open connections may
 // go silent while new ones work; waiting for the time-out of the call as well
@@ -130,15 +130,19 @@
     return m_options.departure_bound * percent / 100;
 }
 
-relay_choice follower::choose_relay_now(base::time_point now) {
+std::set<base::instance_id> follower::avoided_relays(base::time_point now) {
     std::erase_if(m_avoided_until,
                   [&](const auto& one) { return now >= one.second; });
     std::set<base::instance_id> avoided;
     for (const auto& [id, until] : m_avoided_until) {
         avoided.insert(id);
     }
-    return choose_relay(m_state.instances(), m_options.self, avoided,
-                        m_is_rejected);
+    return avoided;
+}
+
+relay_choice follower::choose_relay_now(base::time_point now) {
+    return choose_relay(m_state.instances(), m_options.self,
+                        avoided_relays(now), m_is_rejected);
 }
 
 follower::actions follower::follow(base::time_point now) {
@@ -243,8 +247,12 @@
     }
     const auto reserve =
         std::min(percent_of_bound(relay_response_percent), timeout / 2);
+    auto held = m_values.held();
+    held.resize(std::min(held.size(), max_held));
     return poll{
-        m_relay.endpoint, {m_seen_revision, timeout - reserve, true}, timeout};
+        m_relay.endpoint,
+        {m_seen_revision, timeout - reserve, true, true, std::move(held)},
+        timeout};
 }
 
 void follower::avoid_relay(base::time_point now, milliseconds for_time) {
@@ -275,7 +283,7 @@
         // The key may have been removed and written again, of which polling
         // instances may have seen only the removal.
         if (!is_first_listing && e.modified > m_seen_revision) {
-            m_journal.add(c);
+            add_to_journal(c);
         }
         newest = std::max(newest, e.modified);
     }
@@ -295,11 +303,11 @@
 }
 
 void follower::journal_removed_keys(const store::found_all& listed) {
-    std::set<std::string> present;
+    std::map<std::string, store::revision> present;
     for (const auto& e : listed.entries) {
-        present.insert(e.key);
+        present[e.key] = e.modified;
     }
-    for (const auto& key : m_existing_keys) {
+    for (const auto& [key, at] : m_existing_keys) {
         if (!present.contains(key)) {
             m_journal.add({key, listed.at, std::nullopt});
         }
@@ -307,9 +315,10 @@
     m_existing_keys = std::move(present);
 }
 
-void follower::apply(const store::key_change& c, base::time_point now) {
+void follower::apply(const store::key_change& c, base::time_point now,
+                     const value_delta* received) {
     const auto unread = m_unread.find(c.key);
-    if (unread != m_unread.end() && unread->second <= c.at) {
+    if (unread != m_unread.end() && unread->second.at <= c.at) {
         m_unread.erase(unread);
     }
     const auto decoded = m_decoder(c);
@@ -321,17 +330,41 @@
         m_configuration_unreadable = false;
     }
     if (c.value) {
-        m_existing_keys.insert(c.key);
+        m_existing_keys[c.key] = c.at;
     } else {
         m_existing_keys.erase(c.key);
     }
+    const bool is_polled = m_relay.role == relay_role::watcher ||
+                           m_relay.role == relay_role::standby;
+    m_values.put(c, is_polled, received);
     // A relay sends only changes that are news.
     if (m_polling_relay || is_news(decoded, done)) {
-        m_journal.add(c);
+        add_to_journal(c);
     }
     m_observer(decoded, done, c.at);
 }
 
+void follower::add_to_journal(const store::key_change& c) {
+    m_journal.add(
+        is_large(c)
+            ? store::key_change{c.key, c.at, store::entry{c.key, "", c.at, {}}}
+            : c);
+}
+
+void follower::apply(const std::vector<value_delta>& all,
+                     base::time_point now) {
+    for (const auto& d : all) {
+        if (d.steps.empty() || d.steps.back().at <= m_seen_revision) {
+            continue;
+        }
+        if (const auto c = m_values.apply(d)) {
+            apply(*c, now, &d);
+        } else {
+            add_unread(d.key, d.steps.back().at);
+        }
+    }
+}
+
 void follower::apply(const std::vector<store::key_change>& all,
                      base::time_point now) {
     for (const auto& c : all) {
@@ -443,44 +476,89 @@
     m_is_current = true;
     m_state.on_contact(now - a->age);
     m_state.extend_restoring(a->restoring_for, now);
+    apply(a->deltas, now);
     apply(a->changes, now);
     m_seen_revision = std::max(m_seen_revision, a->seen_revision);
     for (const auto& r : a->references) {
-        m_unread[r.key] = r.at;
+        add_unread(r.key, r.at);
     }
     if (a->confirmed_after) {
         on_complete(a->asked_at + *a->confirmed_after);
     } else {
         confirm_configuration();
     }
-    const auto relay_endpoint = m_relay.endpoint;
+    auto requests = request_unread(now);
     auto next = follow(now);
-    for (const auto& r : a->references) {
-        next.emplace_back(make_fetch(relay_endpoint, r.key));
-    }
+    next.insert(next.end(), requests.begin(), requests.end());
     return next;
 }
 
-follower::fetch follower::make_fetch(const base::endpoint& relay,
-                                     const std::string& key) const {
-    return {relay, key,
-            m_options.departure_bound * fetch_timeout_percent / 100};
+void follower::add_unread(const std::string& key, store::revision at) {
+    auto& unread = m_unread[key];
+    unread.at = std::max(unread.at, at);
+}
+
+follower::actions follower::request_value(const std::string& key,
+                                          base::time_point now) {
+    auto& unread = m_unread.at(key);
+    if (std::exchange(unread.is_requested, true)) {
+        return {};
+    }
+    auto avoided = avoided_relays(now);
+    avoided.insert(unread.tried.begin(), unread.tried.end());
+    constexpr bool as_follower = true; // whatever its role
+    const auto relay =
+        choose_relay(m_state.instances(), m_options.self, avoided, as_follower);
+    unread.from = relay.watcher;
+    if (relay.watcher.empty()) {
+        return {read{key}};
+    }
+    const auto known = m_values.find(key);
+    return {fetch{relay.endpoint,
+                  {key, true, known ? known->modified : store::revision{}},
+                  percent_of_bound(fetch_timeout_percent)}};
+}
+
+follower::actions follower::request_unread(base::time_point now) {
+    actions all;
+    for (const auto& [key, unread] : m_unread) {
+        const auto one = request_value(key, now);
+        all.insert(all.end(), one.begin(), one.end());
+    }
+    return all;
+}
+
+std::optional<store::key_change>
+follower::to_change(const std::optional<relayed_value>& v) const {
+    if (!v) {
+        return std::nullopt;
+    }
+    const auto* d = std::get_if<value_delta>(&*v);
+    return d != nullptr ? m_values.apply(*d) : std::get<store::key_change>(*v);
 }
 
 follower::actions
 follower::on_fetch_response(const std::string& key,
-                            const std::optional<store::key_change>& c,
+                            const std::optional<relayed_value>& v,
                             base::time_point now) {
     const auto unread = m_unread.find(key);
     if (unread == m_unread.end()) {
         return {};
     }
-    if (!c || c->key != key || c->at < unread->second) {
-        return {read{key}};
-    }
-    apply(*c, now);
+    unread->second.is_requested = false;
+    const auto c = to_change(v);
+    const auto known = m_existing_keys.find(key);
+    const bool is_progress =
+        c && c->key == key &&
+        (c->at >= unread->second.at ||
+         (known != m_existing_keys.end() && c->at > known->second));
+    if (!is_progress) {
+        unread->second.tried.insert(unread->second.from);
+        return request_value(key, now);
+    }
+    apply(*c, now, std::get_if<value_delta>(&*v));
     confirm_configuration();
-    return {};
+    return m_unread.contains(key) ? request_value(key, now) : actions();
 }
 
 follower::actions follower::on_read_reply(const std::string& key,
@@ -492,14 +570,16 @@
     }
     const auto* found = std::get_if<store::found>(&r);
     if (found == nullptr ||
-        (found->value && found->value->modified < unread->second)) {
+        (found->value && found->value->modified < unread->second.at)) {
+        unread->second.is_requested = false;
+        unread->second.tried.clear();
         if (!m_read_retry_at) {
             m_read_retry_at = now + m_read_backoff.next_delay();
         }
         return {};
     }
     m_read_backoff.reset();
-    const auto at = found->value ? found->value->modified : unread->second;
+    const auto at = found->value ? found->value->modified : unread->second.at;
     apply(store::key_change{key, at, found->value}, now);
     confirm_configuration();
     return {};
@@ -507,7 +587,7 @@
 
 relay_response follower::make_relay_response(const relay_request& r,
                                              bool is_store_reachable,
-                                             base::time_point now) const {
+                                             base::time_point now) {
     // A listing in progress will soon show what was missed.
     const bool is_relisting = m_listing && m_seen_revision.value > 0;
     if (!m_open_watch_interval && !is_relisting) {
@@ -540,23 +620,52 @@
     }
     response.restoring_for = m_state.restoring_for(now);
     for (auto& c : *missed) {
-        const auto bytes = c.value ? c.value->value.size() : 0;
-        if (r.accepts_references && bytes > max_inline_bytes) {
-            response.references.push_back({c.key, c.at});
-        } else {
-            response.changes.push_back(std::move(c));
-        }
+        add_change(response, r, std::move(c));
     }
     return response;
 }
 
-std::optional<store::key_change>
-follower::make_fetch_response(const std::string& key, base::time_point now) {
-    auto last = m_journal.last_change(key);
-    const bool is_known = last && last->at <= m_seen_revision;
-    const auto bytes = is_known && last->value ? last->value->value.size() : 0;
-    return is_known && m_relay_budget.try_spend(bytes, now) ? last
-                                                            : std::nullopt;
+void follower::add_change(relay_response& to, const relay_request& r,
+                          store::key_change c) {
+    auto large = m_values.find(c.key);
+    if (!large || large->modified != c.at) {
+        to.changes.push_back(std::move(c));
+        return;
+    }
+    if (!r.accepts_references) {
+        c.value = std::move(large);
+        to.changes.push_back(std::move(c));
+        return;
+    }
+    const auto held =
+        std::find_if(r.held.begin(), r.held.end(),
+                     [&](const auto& one) { return one.key == c.key; });
+    auto delta = r.accepts_deltas && held != r.held.end()
+                     ? m_values.delta(c.key, held->at)
+                     : std::nullopt;
+    if (delta && size_of(*delta) <= max_inline_bytes) {
+        to.deltas.push_back(std::move(*delta));
+    } else {
+        to.references.push_back({c.key, c.at});
+    }
+}
+
+std::optional<relayed_value>
+follower::make_fetch_response(const value_request& r, base::time_point now) {
+    auto last = m_journal.last_change(r.key);
+    if (!last || last->at > m_seen_revision) {
+        return std::nullopt;
+    }
+    relayed_value value = *last;
+    if (auto large = m_values.find(r.key);
+        large && large->modified == last->at) {
+        value = r.accepts_delta
+                    ? relayed_value(*m_values.delta(r.key, r.held))
+                    : store::key_change{r.key, last->at, std::move(large)};
+    }
+    return m_relay_budget.try_spend(size_of(value), now)
+               ? std::optional(std::move(value))
+               : std::nullopt;
 }
 
 void follower::on_watch_progress(base::time_point now) {
@@ -597,12 +706,9 @@
     }
     if (m_read_retry_at && now >= *m_read_retry_at) {
         m_read_retry_at.reset();
-        // This instance may be cut off from the store, but not from the relay.
-        for (const auto& [key, at] : m_unread) {
-            due.push_back(m_polling_relay
-                              ? action(make_fetch(m_relay.endpoint, key))
-                              : action(read{key}));
-        }
+        // This instance may be cut off from the store, but not from a relay.
+        const auto requests = request_unread(now);
+        due.insert(due.end(), requests.begin(), requests.end());
     }
     return due;
 }
--- a/pollenreel/fleet/follower.hpp
+++ b/pollenreel/fleet/follower.hpp
@@ -15,6 +15,7 @@
 #include "pollenreel/base/clock.hpp"
 #include "pollenreel/fleet/change_journal.hpp"
 #include "pollenreel/fleet/fleet_state.hpp"
+#include "pollenreel/fleet/large_values.hpp"
 #include "pollenreel/fleet/messages.hpp"
 #include "pollenreel/fleet/relay_choice.hpp"
 #include "pollenreel/fleet/relay_messages.hpp"
@@ -73,7 +74,7 @@
     // `timeout`: without any bytes.
     struct fetch {
         base::endpoint endpoint;
-        std::string key;
+        value_request request;
         std::chrono::milliseconds timeout{};
     };
     using action = std::variant<list, watch, poll, read, fetch>;
@@ -100,7 +101,7 @@
     // The response to a `fetch`; nullopt if none of use came.
     [[nodiscard]] actions
     on_fetch_response(const std::string& key,
-                      const std::optional<store::key_change>& c,
+                      const std::optional<relayed_value>& v,
                       base::time_point now);
     // The reply to a `read`.
     [[nodiscard]] actions on_read_reply(const std::string& key,
@@ -130,21 +131,32 @@
 
     // Builds the response to another instance's poll. `is_store_reachable`:
     // whether the last call to the store succeeded.
-    // Large values become references where these are accepted.
-    [[nodiscard]] relay_response
-    make_relay_response(const relay_request& r, bool is_store_reachable,
-                        base::time_point now) const;
+    // Large values become deltas or references where these are accepted.
+    [[nodiscard]] relay_response make_relay_response(const relay_request& r,
+                                                     bool is_store_reachable,
+                                                     base::time_point now);
     // The last change of a key, unless that would take too much of the link.
-    [[nodiscard]] std::optional<store::key_change>
-    make_fetch_response(const std::string& key, base::time_point now);
+    [[nodiscard]] std::optional<relayed_value>
+    make_fetch_response(const value_request& r, base::time_point now);
 
 private:
     actions on_report(const store::watch_opened&, base::time_point now);
     actions on_report(const store::watch_changed& r, base::time_point now);
     actions on_report(const store::watch_compacted&, base::time_point now);
     actions on_report(const store::watch_closed&, base::time_point now);
-    void apply(const store::key_change& c, base::time_point now);
+    // `received`: what the change was made from, if it came as a delta.
+    void apply(const store::key_change& c, base::time_point now,
+               const value_delta* received = nullptr);
     void apply(const std::vector<store::key_change>& all, base::time_point now);
+    // Without large values, which m_values has.
+    void add_to_journal(const store::key_change& c);
+    // Those that cannot be applied become unread.
+    void apply(const std::vector<value_delta>& all, base::time_point now);
+    // Adds a change to a response, in the form that the receiver accepts.
+    void add_change(relay_response& to, const relay_request& r,
+                    store::key_change c);
+    [[nodiscard]] std::optional<store::key_change>
+    to_change(const std::optional<relayed_value>& v) const;
     // Adds a removal to the journal for each key missing from a new listing.
     void journal_removed_keys(const store::found_all& listed);
     // Watches the store from the revision after the last known one.
@@ -154,8 +166,19 @@
     next_report_due(base::time_point now) const;
     // The poll of the chosen relay, unless too little time is left for it.
     [[nodiscard]] std::optional<poll> make_poll(base::time_point now) const;
-    [[nodiscard]] fetch make_fetch(const base::endpoint& relay,
-                                   const std::string& key) const;
+    // A value that was relayed as a reference.
+    struct unread_value {
+        store::revision at;
+        bool is_requested = false;
+        base::instance_id from; // the relay that it is requested from
+        std::set<base::instance_id> tried;
+    };
+    void add_unread(const std::string& key, store::revision at);
+    // Requests an unread value from the first relay that was not tried, then
+    // from the store. Nothing if it is requested already.
+    [[nodiscard]] actions request_value(const std::string& key,
+                                        base::time_point now);
+    [[nodiscard]] actions request_unread(base::time_point now);
     // All changes that were acknowledged by `at` are known, except those of
     // references that have not been read.
     void on_complete(base::boot_time at);
@@ -164,6 +187,8 @@
     // Does not poll the chosen relay for a while.
     void avoid_relay(base::time_point now, std::chrono::milliseconds for_time);
     [[nodiscard]] relay_choice choose_relay_now(base::time_point now);
+    [[nodiscard]] std::set<base::instance_id>
+    avoided_relays(base::time_point now);
     // Polls a relay if there is one to use, else watches the store, unless that
     // is left to others for now.
     actions follow(base::time_point now);
@@ -181,7 +206,7 @@
     fleet_state& m_state;
     observer m_observer;
     change_journal m_journal;
-    std::set<std::string> m_existing_keys;
+    std::map<std::string, store::revision> m_existing_keys; // last changes
     relay_choice m_relay;
     bool m_listing = false;
     store::revision m_seen_revision{}; // all changes up to it are known
@@ -199,9 +224,8 @@
     std::optional<base::time_point> m_repoll_at;
     // The latest answer of a relay that it has lost the store.
     std::optional<base::time_point> m_store_lost_by_relay_at;
-    // Keys that were relayed as references, with their revisions, until they
-    // have been read.
-    std::map<std::string, store::revision> m_unread;
+    std::map<std::string, unread_value> m_unread; // by key
+    large_values m_values;
     // The latest `on_complete`.
     base::boot_time m_complete_at{};
     // The newest configuration could not be read.
--- a/pollenreel/fleet/relay_messages.hpp
+++ b/pollenreel/fleet/relay_messages.hpp
@@ -9,26 +9,52 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace pollenreel::fleet {
 
+// A key that was written at `at`, without its value. The relay sends the value
+// on request if its link has bandwidth left, and the store always has it.
+struct key_reference {
+    std::string key;
+    store::revision at;
+};
+
+// The value of a key at `at`, compressed against that at `base`, or on its own
+// if that is zero.
+struct value_step {
+    store::revision base;
+    store::revision at;
+    std::string bytes;
+};
+
+// The steps from a value that the receiver has to the latest one.
+struct value_delta {
+    std::string key;
+    std::vector<value_step> steps; // at least one
+};
+
 struct relay_request {
     store::revision known_revision; // all changes up to it are known
     // The relay may delay the response for this long while nothing is new.
     std::chrono::milliseconds max_wait{};
     // Large values may be sent as references.
     bool accepts_references = false;
+    // They may be sent as deltas, too, from these values.
+    bool accepts_deltas = false;
+    std::vector<key_reference> held{};
     // Set by the receiver.
     base::boot_time received_at{};
 };
 
-// A key that was written at `at`, without its value. The relay sends the value
-// on request if its link has bandwidth left, and the store always has it.
-struct key_reference {
+// Asks for the last change of a key.
+struct value_request {
     std::string key;
-    store::revision at;
+    bool accepts_delta = false;
+    store::revision held{}; // of the value that the sender has; zero: none
 };
+using relayed_value = std::variant<store::key_change, value_delta>;
 
 enum class relay_status {
     current,      // contains all changes up to `seen_revision`
@@ -49,6 +75,7 @@
     std::optional<std::chrono::milliseconds> confirmed_after{};
     // Removals among the changes may be due to an outage of the store.
     restore_times restoring_for{};
+    std::vector<value_delta> deltas{};
     // When the poll was sent; set by the receiver.
     base::boot_time asked_at{};
 };
--- a/pollenreel/fleet/simulated_region.hpp
+++ b/pollenreel/fleet/simulated_region.hpp
@@ -258,6 +258,13 @@
         }
         return bytes;
     }
+    static std::size_t encoded_size(const relay_response& a) {
+        auto bytes = encoded_size(a.changes);
+        for (const auto& d : a.deltas) {
+            bytes += size_of(d);
+        }
+        return bytes;
+    }
     // Occupies a direction of a link for `bytes` and returns when it is free.
     base::time_point occupy(base::time_point& free_at, double mbps,
                             std::size_t bytes) const {
@@ -375,9 +382,9 @@
     void begin(std::size_t i, const follower::fetch& f) {
         const auto to = index_of(f.endpoint);
         auto answered = std::make_shared<bool>(false);
-        const auto answer = [this, i, f, answered](const auto& c) {
+        const auto answer = [this, i, f, answered](const auto& v) {
             if (!std::exchange(*answered, true)) {
-                run(i, m_members[i]->follow.on_fetch_response(f.key, c,
+                run(i, m_members[i]->follow.on_fetch_response(f.request.key, v,
                                                               now_of(i)));
             }
         };
@@ -387,16 +394,16 @@
             return;
         }
         schedule(2ms, [this, to, i, f, answer] {
-            const auto c =
-                m_members[to]->follow.make_fetch_response(f.key, now_of(to));
-            const auto takes = c ? transfer_time(to, i, encoded_size({*c}))
+            const auto v = m_members[to]->follow.make_fetch_response(
+                f.request, now_of(to));
+            const auto takes = v ? transfer_time(to, i, size_of(*v))
                                  : std::chrono::milliseconds(0);
             const auto limit = f.timeout * max_timeouts;
             if (takes > limit) {
                 stop_receiving(i, limit);
                 schedule(limit, [answer] { answer(std::nullopt); });
             }
-            schedule(2ms + takes, [answer, c] { answer(c); });
+            schedule(2ms + takes, [answer, v] { answer(v); });
         });
     }
     void deliver_response(std::size_t i, std::uint64_t number,
@@ -417,7 +424,8 @@
             auto a = m_members[by]->follow.make_relay_response(
                 h.request, !cut_off.contains(by), now_of(by));
             const bool news = a.status != relay_status::current ||
-                              !a.changes.empty() || !a.references.empty();
+                              !a.changes.empty() || !a.deltas.empty() ||
+                              !a.references.empty();
             if (!(all || news || m_now >= h.until)) {
                 m_pending_polls.push_back(h);
             } else if (m_random.unit() >= loss_rate && !silent.contains(by)) {
@@ -425,9 +433,7 @@
                 if (fault == confirmation_fault::relay_age_ignored) {
                     a.confirmed_after = std::chrono::milliseconds(0);
                 }
-                schedule(2ms +
-                             transfer_time(by, h.requester,
-                                           encoded_size(a.changes)) +
+                schedule(2ms + transfer_time(by, h.requester, encoded_size(a)) +
                              delay_of(h.requester),
                          [this, h, a] {
                              deliver_response(h.requester, h.number, a);
--- a/pollenreel/relay/client.cpp
+++ b/pollenreel/relay/client.cpp
@@ -19,12 +19,13 @@
 // A fetch whose bytes keep coming ends after so many times its time-out.
 constexpr int max_fetch_timeouts = 4;
 
-base::result<store::key_change> fetched(const base::result<http::response>& r) {
+base::result<fleet::relayed_value>
+fetched(const base::result<http::response>& r) {
     if (!r) {
         return r.error();
     }
-    if (auto change = decode_fetched(r.value())) {
-        return std::move(*change);
+    if (auto value = decode_fetched(r.value())) {
+        return std::move(*value);
     }
     return base::failure{http::make_error_code(http::error::malformed_message),
                          "status " + std::to_string(r.value().status)};
@@ -61,13 +62,14 @@
         });
 }
 
-void client::fetch(const base::endpoint& at, const std::string& key,
+void client::fetch(const base::endpoint& at,
+                   const fleet::value_request& request,
                    std::chrono::milliseconds timeout,
                    fetch_handler on_fetched) {
     http::answer_terms terms;
     terms.body_time = {timeout, max_fetch_timeouts * timeout};
     m_client.call(
-        at, encode_fetch(key), timeout,
+        at, encode(request), timeout,
         [on_fetched = std::move(on_fetched)](
             const base::result<http::response>& r) { on_fetched(fetched(r)); },
         std::move(terms));
--- a/pollenreel/relay/client.hpp
+++ b/pollenreel/relay/client.hpp
@@ -38,8 +38,8 @@
     // of other fetches. `timeout`: until the first bytes, and without any
     // further ones.
     using fetch_handler =
-        std::function<void(const base::result<store::key_change>&)>;
-    void fetch(const base::endpoint& at, const std::string& key,
+        std::function<void(const base::result<fleet::relayed_value>&)>;
+    void fetch(const base::endpoint& at, const fleet::value_request& request,
                std::chrono::milliseconds timeout, fetch_handler on_fetched);
 
 private:
--- a/pollenreel/relay/codec.cpp
+++ b/pollenreel/relay/codec.cpp
@@ -3,6 +3,7 @@
 #include "proto/relay.pb.h"
 
 #include <algorithm>
+#include <variant>
 
 namespace pollenreel::relay {
 
@@ -59,6 +60,26 @@
     }
 }
 
+void encode_change(wire::RelayedChange& to, const fleet::value_delta& d) {
+    to.set_key(d.key);
+    to.set_revision(d.steps.back().at.value);
+    for (const auto& s : d.steps) {
+        auto& step = *to.add_steps();
+        step.set_base_revision(s.base.value);
+        step.set_revision(s.at.value);
+        step.set_bytes(s.bytes);
+    }
+}
+
+fleet::value_delta decode_delta(const wire::RelayedChange& from) {
+    fleet::value_delta d{from.key(), {}};
+    d.steps.reserve(static_cast<std::size_t>(from.steps_size()));
+    for (const auto& s : from.steps()) {
+        d.steps.push_back({{s.base_revision()}, {s.revision()}, s.bytes()});
+    }
+    return d;
+}
+
 store::key_change decode_change(const wire::RelayedChange& from) {
     const store::revision at{from.revision()};
     if (from.removed()) {
@@ -67,6 +88,11 @@
     return {from.key(), at, store::entry{from.key(), from.value(), at, {}}};
 }
 
+void encode_reference(wire::KeyReference& to, const fleet::key_reference& r) {
+    to.set_key(r.key);
+    to.set_revision(r.at.value);
+}
+
 } // namespace
 
 http::request encode(const fleet::relay_request& a) {
@@ -74,6 +100,10 @@
     message.set_known_revision(a.known_revision.value);
     message.set_wait_ms(to_wire_ms(a.max_wait));
     message.set_accepts_references(a.accepts_references);
+    message.set_accepts_deltas(a.accepts_deltas);
+    for (const auto& held : a.held) {
+        encode_reference(*message.add_held(), held);
+    }
     return {"POST", std::string(path), {}, message.SerializeAsString()};
 }
 
@@ -94,39 +124,46 @@
     for (const auto& c : a.changes) {
         encode_change(*message.add_changes(), c);
     }
+    for (const auto& d : a.deltas) {
+        encode_change(*message.add_changes(), d);
+    }
     for (const auto& r : a.references) {
-        auto& reference = *message.add_references();
-        reference.set_key(r.key);
-        reference.set_revision(r.at.value);
+        encode_reference(*message.add_references(), r);
     }
     return {http_ok, {}, message.SerializeAsString()};
 }
 
-http::request encode_fetch(const std::string& key) {
+http::request encode(const fleet::value_request& r) {
     wire::RelayFetch message;
-    message.set_key(key);
+    message.set_key(r.key);
+    message.set_accepts_delta(r.accepts_delta);
+    message.set_held_revision(r.held.value);
     return {"POST", std::string(fetch_path), {}, message.SerializeAsString()};
 }
 
-http::response encode(const store::key_change& c) {
+http::response encode(const fleet::relayed_value& v) {
     wire::RelayedChange message;
-    encode_change(message, c);
+    std::visit([&](const auto& one) { encode_change(message, one); }, v);
     return {http_ok, {}, message.SerializeAsString()};
 }
 
-std::optional<std::string> decode_fetch(const http::request& r) {
+std::optional<fleet::value_request> decode_fetch(const http::request& r) {
     wire::RelayFetch message;
     if (r.path != fetch_path || !message.ParseFromString(r.body)) {
         return std::nullopt;
     }
-    return message.key();
+    return fleet::value_request{
+        message.key(), message.accepts_delta(), {message.held_revision()}};
 }
 
-std::optional<store::key_change> decode_fetched(const http::response& r) {
+std::optional<fleet::relayed_value> decode_fetched(const http::response& r) {
     wire::RelayedChange message;
     if (r.status != http_ok || !message.ParseFromString(r.body)) {
         return std::nullopt;
     }
+    if (message.steps_size() > 0) {
+        return decode_delta(message);
+    }
     return decode_change(message);
 }
 
@@ -136,9 +173,14 @@
         return std::nullopt;
     }
     const milliseconds wait{message.wait_ms()};
-    return fleet::relay_request{{message.known_revision()},
-                                std::min(wait, max_wire_duration),
-                                message.accepts_references()};
+    fleet::relay_request request{{message.known_revision()},
+                                 std::min(wait, max_wire_duration),
+                                 message.accepts_references(),
+                                 message.accepts_deltas()};
+    for (const auto& held : message.held()) {
+        request.held.push_back({held.key(), {held.revision()}});
+    }
+    return request;
 }
 
 std::optional<fleet::relay_response> decode_response(const http::response& r) {
@@ -159,7 +201,11 @@
                               from_wire(message.instances_restoring_ms())};
     response.changes.reserve(static_cast<std::size_t>(message.changes_size()));
     for (const auto& c : message.changes()) {
-        response.changes.push_back(decode_change(c));
+        if (c.steps_size() > 0) {
+            response.deltas.push_back(decode_delta(c));
+        } else {
+            response.changes.push_back(decode_change(c));
+        }
     }
     if (message.has_confirmed_after_ms()) {
         response.confirmed_after = milliseconds(message.confirmed_after_ms());
--- a/pollenreel/relay/codec.hpp
+++ b/pollenreel/relay/codec.hpp
@@ -7,22 +7,21 @@
 #include "pollenreel/http/message.hpp"
 
 #include <optional>
-#include <string>
 
 namespace pollenreel::relay {
 
 [[nodiscard]] http::request encode(const fleet::relay_request& a);
 [[nodiscard]] http::response encode(const fleet::relay_response& a);
-// Asks for the value of a key that was sent as a reference.
-[[nodiscard]] http::request encode_fetch(const std::string& key);
-[[nodiscard]] http::response encode(const store::key_change& c);
+[[nodiscard]] http::request encode(const fleet::value_request& r);
+[[nodiscard]] http::response encode(const fleet::relayed_value& v);
 // Return nullopt for any other message.
 [[nodiscard]] std::optional<fleet::relay_request>
 decode_request(const http::request& r);
 [[nodiscard]] std::optional<fleet::relay_response>
 decode_response(const http::response& r);
-[[nodiscard]] std::optional<std::string> decode_fetch(const http::request& r);
-[[nodiscard]] std::optional<store::key_change>
+[[nodiscard]] std::optional<fleet::value_request>
+decode_fetch(const http::request& r);
+[[nodiscard]] std::optional<fleet::relayed_value>
 decode_fetched(const http::response& r);
 
 } // namespace pollenreel::relay
--- a/pollenreel/relay/codec_test.cpp
+++ b/pollenreel/relay/codec_test.cpp
@@ -36,6 +36,46 @@
     CHECK(read->references[0].at.value == 37);
 }
 
+TEST_CASE("deltas of large values survive a round trip") {
+    fleet::relay_request request{{17}, 1500ms, true, true, {{"c", {16}}}};
+    const auto asked = relay::decode_request(relay::encode(request));
+    REQUIRE(asked.has_value());
+    CHECK(asked->accepts_deltas);
+    REQUIRE(asked->held.size() == 1);
+    CHECK(asked->held[0].key == "c");
+    CHECK(asked->held[0].at.value == 16);
+
+    const fleet::value_delta delta{
+        "c", {{{16}, {18}, std::string("\0x", 2)}, {{18}, {20}, "y"}}};
+    const auto check = [](const fleet::value_delta& read) {
+        CHECK(read.key == "c");
+        REQUIRE(read.steps.size() == 2);
+        CHECK(read.steps[0].base.value == 16);
+        CHECK(read.steps[0].at.value == 18);
+        CHECK(read.steps[0].bytes == std::string("\0x", 2));
+        CHECK(read.steps[1].base.value == 18);
+    };
+    fleet::relay_response response{
+        fleet::relay_status::current, {40}, 0ms, {{"t/b", {39}, std::nullopt}}};
+    response.deltas = {delta};
+    const auto read = relay::decode_response(relay::encode(response));
+    REQUIRE(read.has_value());
+    CHECK(read->changes.size() == 1);
+    REQUIRE(read->deltas.size() == 1);
+    check(read->deltas[0]);
+
+    const auto fetch = relay::decode_fetch(
+        relay::encode(fleet::value_request{"c", true, {16}}));
+    REQUIRE(fetch.has_value());
+    CHECK(fetch->key == "c");
+    CHECK(fetch->accepts_delta);
+    CHECK(fetch->held.value == 16);
+    const auto fetched =
+        relay::decode_fetched(relay::encode(fleet::relayed_value(delta)));
+    REQUIRE(fetched.has_value());
+    check(std::get<fleet::value_delta>(*fetched));
+}
+
 TEST_CASE("each status survives a round trip") {
     for (const auto s :
          {fleet::relay_status::current, fleet::relay_status::behind,
--- a/pollenreel/relay/listener.cpp
+++ b/pollenreel/relay/listener.cpp
@@ -17,7 +17,8 @@
 constexpr unsigned http_bad_request = 400;
 constexpr unsigned http_unavailable = 503;
 constexpr std::uint32_t header_bytes = 1024;
-constexpr std::uint64_t poll_body_bytes = 1024; // a poll has a few bytes
+// A poll has a few bytes, and up to 8 keys of 200.
+constexpr std::uint64_t poll_body_bytes = 4096;
 // A report on 10,000 tenants takes at most 310 kB.
 constexpr std::uint64_t exchange_body_bytes = 512ULL * 1024;
 // Of the reports that are received at once. Larger than what a region of 45
@@ -45,8 +46,8 @@
                }) {}
 
 void listener::on_request(const http::request& r, http::responder respond) {
-    if (const auto key = decode_fetch(r)) {
-        return on_fetch(*key, respond);
+    if (const auto fetch = decode_fetch(r)) {
+        return on_fetch(*fetch, respond);
     }
     if (m_exchange && answer_exchange(r, respond)) {
         return;
@@ -65,6 +66,7 @@
     const auto response = m_source(*request);
     const bool has_no_news = response.status == fleet::relay_status::current &&
                              response.changes.empty() &&
+                             response.deltas.empty() &&
                              response.references.empty();
     if (!has_no_news) {
         return send(respond, encode(response));
@@ -80,11 +82,11 @@
     send(poll.respond, encode(m_source(poll.request)));
 }
 
-void listener::on_fetch(const std::string& key,
+void listener::on_fetch(const fleet::value_request& r,
                         const http::responder& respond) {
-    const auto change = m_values(key);
+    const auto value = m_values(r);
     send(respond,
-         change ? encode(*change) : http::response{http_unavailable, {}, ""});
+         value ? encode(*value) : http::response{http_unavailable, {}, ""});
 }
 
 void listener::send(const http::responder& respond, http::response encoded) {
--- a/pollenreel/relay/listener.hpp
+++ b/pollenreel/relay/listener.hpp
@@ -44,8 +44,8 @@
         std::function<fleet::relay_response(const fleet::relay_request&)>;
 
     // Returns the last change of a key; nullopt if it is not to be sent.
-    using value_source =
-        std::function<std::optional<store::key_change>(const std::string& key)>;
+    using value_source = std::function<std::optional<fleet::relayed_value>(
+        const fleet::value_request&)>;
 
     // Checks a target and calls `done` with the result, nullopt if it could
     // not, now or later on the listener's thread.
@@ -89,7 +89,8 @@
 
     void on_request(const http::request& r, http::responder respond);
     void respond_to(const pending_poll& poll);
-    void on_fetch(const std::string& key, const http::responder& respond);
+    void on_fetch(const fleet::value_request& r,
+                  const http::responder& respond);
     void send(const http::responder& respond, http::response encoded);
     // Answers a message of the exchange; false if it is none.
     bool answer_exchange(const http::request& r,
